--- /dev/null
+++ b/dispatcher/src/broker/answer.rs
@@ -0,0 +1,169 @@
+//! The final answer to a request, and how a front waits for it.
+
+use super::{BrokerBox, ToBroker};
+use crate::engine::{EngineBox, More, Page, ToEngine};
+use sedgebeam_core::{AttemptNo, RequestId};
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+/// The final answer to a request. Whoever holds its sender can give it only once.
+#[derive(Debug)]
+pub enum Answer {
+    Rows(Delivery),
+    /// Turned away; harmless to try again after this long.
+    Refused {
+        retry_after: Duration,
+    },
+    Failed(Failure),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Given up, with no promise whether it ran.
+    Unanswered,
+    /// Its client called it off.
+    Cancelled,
+    /// Another request of this name is open.
+    Duplicate,
+    /// The dispatcher is ending.
+    Ending,
+}
+
+/// A result on its way to the client: its pages are read as the client takes them.
+#[derive(Debug)]
+pub struct Delivery {
+    first: Option<Page>,
+    next: u32,
+    whole: bool,
+    deadline: Instant,
+    engine: EngineBox,
+    request: RequestId,
+    number: AttemptNo,
+}
+
+/// The rest of a result can't be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken;
+
+impl Delivery {
+    pub fn new(
+        first: Page,
+        deadline: Instant,
+        engine: EngineBox,
+        request: RequestId,
+        number: AttemptNo,
+    ) -> Delivery {
+        Delivery {
+            first: Some(first),
+            next: 1,
+            whole: false,
+            deadline,
+            engine,
+            request,
+            number,
+        }
+    }
+
+    /// When the client stops waiting.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// The next page; `None` once the result is whole.
+    pub async fn next(&mut self) -> Result<Option<Page>, Broken> {
+        if self.whole {
+            return Ok(None);
+        }
+        let page = match self.first.take() {
+            Some(page) => page,
+            None => self.more().await?,
+        };
+        self.whole = page.last;
+        Ok(Some(page))
+    }
+
+    async fn more(&mut self) -> Result<Page, Broken> {
+        let (reply, page) = oneshot::channel();
+        let more = More {
+            request: self.request,
+            number: self.number,
+            page: self.next,
+            reply,
+        };
+        self.next += 1;
+        self.engine
+            .send(ToEngine::More(more))
+            .await
+            .map_err(|_| Broken)?;
+        let page = timeout_at(self.deadline, page).await;
+        page.map_err(|_| Broken)?.map_err(|_| Broken)
+    }
+}
+
+impl Drop for Delivery {
+    fn drop(&mut self) {
+        // A result of one page is forgotten by its engine once it is sent.
+        if self.next > 1 || !self.whole {
+            let done = ToEngine::Done(self.request, self.number);
+            if self.engine.try_send(done).is_err() {
+                log::debug!("the engine of {:?} is gone", self.request);
+            }
+        }
+    }
+}
+
+/// A request that the broker has taken: wait on it for the answer, or drop it to leave.
+#[derive(Debug)]
+pub struct Pending {
+    request: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    broker: BrokerBox,
+    answered: bool,
+}
+
+impl Pending {
+    pub fn new(
+        request: RequestId,
+        answer: oneshot::Receiver<Answer>,
+        broker: BrokerBox,
+    ) -> Pending {
+        Pending {
+            request,
+            answer,
+            broker,
+            answered: false,
+        }
+    }
+}
+
+impl Future for Pending {
+    type Output = Answer;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Answer> {
+        let answer = Pin::new(&mut self.answer).poll(context);
+        answer.map(|answer| {
+            self.answered = true;
+            // A sender dropped without an answer: the broker has ended.
+            answer.unwrap_or(Answer::Failed(Failure::Ending))
+        })
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        // The client has left; its session may be gone, so the word must not depend on it.
+        if let Err(full) = self.broker.try_send(ToBroker::ClientLeft(self.request)) {
+            let (broker, word) = (self.broker.clone(), full.into_inner());
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move { broker.send(word).await });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/broker/mod.rs
@@ -0,0 +1,638 @@
+//! The module's actor: it alone owns the gateway, the open requests, their attempts and all timers.
+//!
+//! It gives the gateway just what the simulator's adapter would: events in the order in which they
+//! came, in batches no closer than a tick, one outcome for each send, and attempts numbered from 0.
+
+mod answer;
+mod requests;
+
+pub use answer::{Answer, Broken, Delivery, Failure, Pending};
+
+use crate::clock::{Clock, duration, span};
+use crate::config::Config;
+use crate::engine::{self, End, EngineBox, Probe, Report, ToEngine};
+use crate::roster::{Listing, Target};
+use bytes::Bytes;
+use requests::{Open, Out};
+use sedgebeam_core::{
+    Action, AttemptNo, CellId, ClassId, Ended, Engine, EngineId, EngineState, Event, Gateway,
+    GroupId, ListKind, Micros, Outcome, Query, RequestId, Settings, TenantId, TimerId,
+};
+use sedgebeam_settings::{Connections, Names, micros};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+pub type BrokerBox = mpsc::Sender<ToBroker>;
+
+/// Messages that may wait for the broker; their senders wait beyond it.
+const MAILBOX: usize = 4096;
+/// Messages taken before the gateway is asked again.
+const MOST_AT_ONCE: usize = 2048;
+
+/// A client's request, whatever its wire.
+#[derive(Clone, Debug)]
+pub struct NewRequest {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    pub work: Micros,
+    pub memory_mb: f64,
+    pub group: GroupId,
+    pub statement: Bytes,
+    /// The session that a cancel names, where the wire has such.
+    pub session: Option<SessionKey>,
+}
+
+/// Names a session to those who may cancel what it asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SessionKey(pub u64);
+
+#[derive(Debug)]
+pub enum ToBroker {
+    Submit(NewRequest, oneshot::Sender<Answer>),
+    ClientLeft(RequestId),
+    Cancel(SessionKey),
+    Engine(EngineId, Report),
+    EngineDied(EngineId),
+    List(Listing, Vec<Target>),
+}
+
+/// Hands a request over; the answer is waited for on what this returns.
+pub async fn submit(broker: &BrokerBox, request: NewRequest) -> Pending {
+    let (reply, answer) = oneshot::channel();
+    let pending = Pending::new(request.id, answer, broker.clone());
+    // Where the broker is gone, the reply goes with the message and the answer says so.
+    let _ = broker.send(ToBroker::Submit(request, reply)).await;
+    pending
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Module(TimerId),
+    Attempt(RequestId, AttemptNo),
+    /// The final answer is overdue.
+    Answer(RequestId),
+}
+
+/// An engine as the broker knows it.
+struct Known {
+    uid: String,
+    endpoint: String,
+    mailbox: EngineBox,
+    ready: bool,
+}
+
+pub struct Broker {
+    gateway: Gateway,
+    settings: Settings,
+    names: Names,
+    class_names: Vec<Arc<str>>,
+    connections: Connections,
+    clock: Clock,
+    own: BrokerBox,
+    open: HashMap<RequestId, Open>,
+    sessions: HashMap<SessionKey, RequestId>,
+    engines: BTreeMap<EngineId, Known>,
+    /// Events that the gateway has not been told yet.
+    events: Vec<Event>,
+    /// Requests that are over and have nothing out, once the gateway knows.
+    over: Vec<RequestId>,
+    due: BTreeMap<(Instant, u64), Due>,
+    due_count: u64,
+    last_batch: Option<Instant>,
+}
+
+/// The broker and its mailbox.
+pub fn new(config: &Config, clock: Clock) -> (Broker, BrokerBox, mpsc::Receiver<ToBroker>) {
+    let (own, incoming) = mpsc::channel(MAILBOX);
+    let broker = Broker {
+        gateway: Gateway::new(config.settings.clone(), config.seed),
+        settings: config.settings.clone(),
+        names: config.names.clone(),
+        class_names: config
+            .names
+            .classes
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect(),
+        connections: config.connections,
+        clock,
+        own: own.clone(),
+        open: HashMap::new(),
+        sessions: HashMap::new(),
+        engines: BTreeMap::new(),
+        events: Vec::new(),
+        over: Vec::new(),
+        due: BTreeMap::new(),
+        due_count: 0,
+        last_batch: None,
+    };
+    (broker, own, incoming)
+}
+
+impl Broker {
+    /// Runs until every sender of its mailbox but its own is gone, which is never.
+    pub async fn run(mut self, mut incoming: mpsc::Receiver<ToBroker>) {
+        loop {
+            let wake = self.wakes_at();
+            tokio::select! {
+                biased;
+                message = incoming.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {}
+            }
+            for _ in 0..MOST_AT_ONCE {
+                match incoming.try_recv() {
+                    Ok(message) => self.take(message),
+                    Err(_) => break,
+                }
+            }
+            let now = Instant::now();
+            self.fall_due(now);
+            if !self.events.is_empty() && now >= self.next_batch(now) {
+                self.batch(now);
+            }
+        }
+    }
+
+    fn next_batch(&self, now: Instant) -> Instant {
+        let tick = duration(self.settings.tick);
+        self.last_batch.map_or(now, |last| last + tick)
+    }
+
+    fn wakes_at(&self) -> Option<Instant> {
+        let batch = (!self.events.is_empty()).then(|| self.next_batch(Instant::now()));
+        let due = self.due.first_key_value().map(|((at, _), _)| *at);
+        batch.into_iter().chain(due).min()
+    }
+
+    fn at(&mut self, when: Instant, due: Due) {
+        self.due_count += 1;
+        self.due.insert((when, self.due_count), due);
+    }
+
+    fn fall_due(&mut self, now: Instant) {
+        while let Some(first) = self.due.first_entry().filter(|first| first.key().0 <= now) {
+            match first.remove() {
+                Due::Module(timer) => self.events.push(Event::Timer(timer)),
+                Due::Attempt(id, number) => self.timed_out(id, number, now),
+                Due::Answer(id) => self.overdue(id),
+            }
+        }
+    }
+
+    /// Tells the gateway what has happened and does what it says.
+    fn batch(&mut self, now: Instant) {
+        self.last_batch = Some(now);
+        let mut events = std::mem::take(&mut self.events);
+        for event in &mut events {
+            if let Event::Request(query) = event {
+                let open = self.open.get(&query.id);
+                let left = open.map_or(Micros(0), |open| {
+                    span(open.deadline.saturating_duration_since(now))
+                });
+                query.remaining = left;
+            }
+        }
+        let told = std::mem::take(&mut self.over);
+        let actions = self.gateway.handle(self.clock.micros(now), events);
+        for action in actions {
+            self.act(action, now);
+        }
+        for id in told {
+            self.open.remove(&id);
+        }
+    }
+
+    fn act(&mut self, action: Action, now: Instant) {
+        match action {
+            Action::Terms {
+                request, priority, ..
+            } => self.terms(request, priority),
+            Action::Send {
+                request,
+                engine,
+                timeout,
+            } => self.send(request, engine, timeout, now),
+            Action::Cancel { request, attempt } => self.call_off(request, attempt, now),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
+                let retry_after = duration(retry_after);
+                self.conclude(request, Answer::Refused { retry_after });
+            }
+            Action::Fail { request } => {
+                self.conclude(request, Answer::Failed(Failure::Unanswered));
+            }
+            Action::Timer { timer, at } => {
+                let at = self.clock.instant(at);
+                self.at(at, Due::Module(timer));
+            }
+            Action::Probe { engine } => self.probe(engine),
+            // The change log is followed by itself.
+            Action::Follow => {}
+            Action::Log(text) => log::info!("{text}"),
+        }
+    }
+
+    fn take(&mut self, message: ToBroker) {
+        match message {
+            ToBroker::Submit(request, reply) => self.submit(request, reply),
+            ToBroker::ClientLeft(id) => self.client_left(id, Failure::Cancelled),
+            ToBroker::Cancel(session) => {
+                if let Some(id) = self.sessions.get(&session).copied() {
+                    self.client_left(id, Failure::Cancelled);
+                }
+            }
+            ToBroker::Engine(engine, Report::Ended(id, number, end)) => {
+                self.ended(engine, id, number, end);
+            }
+            ToBroker::Engine(_, Report::Note(id, number, note)) => {
+                if self.is_out(id, number) {
+                    self.events.push(Event::Note(id, number, note));
+                }
+            }
+            ToBroker::Engine(engine, Report::Probed(probe)) => {
+                let (outcome, load) = probed(probe);
+                self.events.push(Event::Probed(engine, outcome, load));
+            }
+            ToBroker::EngineDied(engine) => self.engine_died(engine),
+            ToBroker::List(listing, targets) => self.list(listing, targets),
+        }
+    }
+
+    // ---- Requests ----
+
+    fn submit(&mut self, request: NewRequest, reply: oneshot::Sender<Answer>) {
+        let refused = Answer::Refused {
+            retry_after: duration(self.settings.max_retry_after),
+        };
+        // An answer that nobody waits for any more is no loss.
+        if self.open.contains_key(&request.id) {
+            let _ = reply.send(Answer::Failed(Failure::Duplicate));
+            return;
+        }
+        if self.open.len() >= self.connections.max_open {
+            let _ = reply.send(refused);
+            return;
+        }
+        let id = request.id;
+        self.events.push(Event::Request(Query {
+            id,
+            class: request.class,
+            tenant: request.tenant,
+            key: None,
+            // Set when the gateway is told.
+            remaining: Micros(0),
+            work: request.work,
+            memory_mb: request.memory_mb,
+            group: request.group,
+        }));
+        let slack = duration(self.settings.answer_slack);
+        self.at(request.deadline + slack, Due::Answer(id));
+        if let Some(session) = request.session {
+            self.sessions.insert(session, id);
+        }
+        self.open.insert(id, Open::new(request, reply));
+    }
+
+    /// Gives the final answer, unless it has been given.
+    fn conclude(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let Some(reply) = open.reply.take() else {
+            return;
+        };
+        // The client may have gone in this moment; then its result is dropped, and so let go.
+        let _ = reply.send(answer);
+        if let Some(session) = open.session {
+            self.sessions.remove(&session);
+        }
+        self.settle(id);
+    }
+
+    /// Notes a request that is over and has nothing out.
+    fn settle(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(Open::is_settled) {
+            self.over.push(id);
+        }
+    }
+
+    fn client_left(&mut self, id: RequestId, why: Failure) {
+        if self.open.get(&id).is_some_and(|open| open.reply.is_some()) {
+            self.events.push(Event::ClientLeft(id));
+            self.conclude(id, Answer::Failed(why));
+        }
+    }
+
+    /// Guards against a request that the gateway leaves without an answer.
+    fn overdue(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|open| open.reply.is_some()) {
+            log::error!("request {:016x} is overdue", id.0);
+            self.client_left(id, Failure::Unanswered);
+        }
+    }
+
+    // ---- Attempts ----
+
+    fn is_out(&self, id: RequestId, number: AttemptNo) -> bool {
+        self.open
+            .get(&id)
+            .is_some_and(|open| open.out(number).is_some())
+    }
+
+    fn terms(&mut self, id: RequestId, priority: u8) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let changed = std::mem::replace(&mut open.rank, priority) != priority;
+        for (number, out) in open.all_out().filter(|_| changed) {
+            post(&out.mailbox, ToEngine::Renice(id, number, priority));
+        }
+    }
+
+    fn send(&mut self, id: RequestId, to: EngineId, timeout: Micros, now: Instant) {
+        let Some(open) = self.open.get_mut(&id) else {
+            log::error!("a send for request {:016x}, which is not open", id.0);
+            return;
+        };
+        let known = self.engines.get(&to).filter(|known| known.ready);
+        let number = AttemptNo(open.attempts.len() as u32);
+        let most = self.settings.max_attempts;
+        let spent = most > 0 && number.0 >= most;
+        let doubled = !self.settings.second_copies && open.all_out().next().is_some();
+        let moot = open.reply.is_none() || now >= open.deadline || spent || doubled;
+        let Some(known) = known.filter(|_| !moot) else {
+            let outcome = if moot {
+                Outcome::Moot
+            } else {
+                Outcome::ConnectFailed
+            };
+            open.attempts.push(None);
+            self.report(id, number, to, outcome, now, now);
+            return;
+        };
+        let left = open.deadline - now;
+        let timeout = match timeout {
+            Micros(0) => left,
+            timeout => duration(timeout).min(left),
+        };
+        let attempt = engine::Attempt {
+            request: id,
+            number,
+            class: self.class_names[open.class.0].clone(),
+            timeout,
+            rank: open.rank,
+            statement: open.statement.clone(),
+        };
+        let mailbox = known.mailbox.clone();
+        if mailbox.try_send(ToEngine::Send(attempt)).is_err() {
+            open.attempts.push(None);
+            self.report(id, number, to, Outcome::ConnectFailed, now, now);
+            return;
+        }
+        open.attempts.push(Some(Out {
+            engine: to,
+            mailbox,
+            sent: now,
+        }));
+        self.at(now + timeout, Due::Attempt(id, number));
+    }
+
+    /// Tells the gateway how an attempt ended.
+    fn report(
+        &mut self,
+        id: RequestId,
+        number: AttemptNo,
+        engine: EngineId,
+        outcome: Outcome,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let open = self.open.get(&id);
+        self.events.push(Event::Ended(Ended {
+            request: id,
+            attempt: number,
+            engine,
+            outcome,
+            took: span(now - sent),
+            finished: open.is_none_or(|open| open.reply.is_none()),
+            work: None,
+            load: None,
+        }));
+        self.settle(id);
+    }
+
+    /// Takes an attempt back, if it is out.
+    fn take_back(&mut self, id: RequestId, number: AttemptNo) -> Option<Out> {
+        self.open
+            .get_mut(&id)?
+            .attempts
+            .get_mut(number.0 as usize)?
+            .take()
+    }
+
+    fn call_off(&mut self, id: RequestId, number: AttemptNo, now: Instant) {
+        if let Some(out) = self.take_back(id, number) {
+            post(&out.mailbox, ToEngine::Abort(id, number));
+            self.report(id, number, out.engine, Outcome::Cancelled, out.sent, now);
+        }
+    }
+
+    fn timed_out(&mut self, id: RequestId, number: AttemptNo, now: Instant) {
+        if let Some(out) = self.take_back(id, number) {
+            post(&out.mailbox, ToEngine::Abort(id, number));
+            self.report(id, number, out.engine, Outcome::TimedOut, out.sent, now);
+        }
+    }
+
+    fn ended(&mut self, engine: EngineId, id: RequestId, number: AttemptNo, end: End) {
+        let now = Instant::now();
+        // What was called off or timed out has had its outcome.
+        let Some(out) = self.take_back(id, number) else {
+            return;
+        };
+        let outcome = match end {
+            End::Ok { page, work, load } => return self.served(id, number, out, page, work, load),
+            End::Busy => Outcome::Full,
+            End::Error => Outcome::Error,
+            End::Void => Outcome::Moot,
+            End::ConnectFailed => Outcome::ConnectFailed,
+            End::Reset => Outcome::Reset,
+        };
+        self.report(id, number, engine, outcome, out.sent, now);
+    }
+
+    /// The first good end reaches the client and concludes the request.
+    fn served(
+        &mut self,
+        id: RequestId,
+        number: AttemptNo,
+        out: Out,
+        page: engine::Page,
+        work: Option<Micros>,
+        load: Option<sedgebeam_core::Load>,
+    ) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let delivery = Delivery::new(page, open.deadline, out.mailbox, id, number);
+        self.conclude(id, Answer::Rows(delivery));
+        self.events.push(Event::Ended(Ended {
+            request: id,
+            attempt: number,
+            engine: out.engine,
+            outcome: Outcome::Ok,
+            took: span(out.sent.elapsed()),
+            finished: true,
+            work: work.filter(|_| self.names.tells_cost),
+            load,
+        }));
+    }
+
+    // ---- Engines ----
+
+    fn probe(&mut self, engine: EngineId) {
+        let known = self.engines.get(&engine);
+        let asked = known.map(|known| known.mailbox.try_send(ToEngine::Probe));
+        if !matches!(asked, Some(Ok(()))) {
+            self.events
+                .push(Event::Probed(engine, Outcome::ConnectFailed, None));
+        }
+    }
+
+    fn list(&mut self, listing: Listing, targets: Vec<Target>) {
+        let mut engines = Vec::new();
+        for target in &targets {
+            let id = self.identify(&target.uid);
+            engines.push(self.entry(id, target));
+            match target.state.as_str() {
+                "removed" => self.forget(id),
+                state => self.know(id, target, state == "up"),
+            }
+        }
+        let kind = match listing {
+            Listing::Saved => ListKind::Saved,
+            Listing::Complete => ListKind::Complete,
+            Listing::Changes => ListKind::Changes,
+        };
+        if listing != Listing::Changes {
+            let listed = |id: &EngineId| engines.iter().any(|engine| engine.id == *id);
+            let gone: Vec<EngineId> = self
+                .engines
+                .keys()
+                .filter(|id| !listed(id))
+                .copied()
+                .collect();
+            gone.into_iter().for_each(|id| self.forget(id));
+        }
+        self.events.push(Event::List { kind, engines });
+    }
+
+    fn entry(&self, id: EngineId, target: &Target) -> Engine {
+        Engine {
+            id,
+            zone: target.az.as_deref().and_then(|zone| self.names.zone(zone)),
+            kind: target
+                .model
+                .as_deref()
+                .and_then(|kind| self.names.kind(kind)),
+            cell: CellId(target.pod_group.unwrap_or_default()),
+            state: match target.state.as_str() {
+                "up" => EngineState::Ready,
+                "draining" => EngineState::Draining,
+                _ => EngineState::Gone,
+            },
+            started_at: micros(target.boot_ms.unwrap_or_default()),
+        }
+    }
+
+    /// The number of an engine: that in its name, so that all dispatchers order engines alike.
+    fn identify(&self, uid: &str) -> EngineId {
+        let known = self.engines.iter().find(|(_, known)| known.uid == uid);
+        if let Some((id, _)) = known {
+            return *id;
+        }
+        let told = uid
+            .rsplit('-')
+            .next()
+            .and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        let mut number = told.unwrap_or_else(|| uid.bytes().fold(0xcbf2_9ce4_8422_2325, step));
+        while self.engines.contains_key(&EngineId(number)) {
+            number = number.wrapping_add(1);
+        }
+        EngineId(number)
+    }
+
+    fn know(&mut self, id: EngineId, target: &Target, ready: bool) {
+        let moved = self
+            .engines
+            .get(&id)
+            .is_some_and(|known| known.endpoint != target.endpoint);
+        if moved {
+            self.forget(id);
+        }
+        let (connections, own) = (self.connections, self.own.clone());
+        let known = self.engines.entry(id).or_insert_with(|| Known {
+            uid: target.uid.clone(),
+            endpoint: target.endpoint.clone(),
+            mailbox: engine::start(id, &target.uid, &target.endpoint, connections, own),
+            ready,
+        });
+        known.ready = ready;
+        if !ready {
+            post(&known.mailbox, ToEngine::NothingNew);
+        }
+    }
+
+    /// An engine is gone from the list; its actor ends once nothing of it is out.
+    fn forget(&mut self, id: EngineId) {
+        if let Some(known) = self.engines.remove(&id) {
+            post(&known.mailbox, ToEngine::NothingNew);
+        }
+    }
+
+    /// Guards against attempts that wait for an actor that has died.
+    fn engine_died(&mut self, engine: EngineId) {
+        let now = Instant::now();
+        let out = self.open.iter().flat_map(|(id, open)| {
+            let there = open.all_out().filter(|(_, out)| out.engine == engine);
+            there.map(|(number, _)| (*id, number))
+        });
+        let out: Vec<(RequestId, AttemptNo)> = out.collect();
+        for (id, number) in out {
+            if let Some(out) = self.take_back(id, number) {
+                self.report(id, number, engine, Outcome::Reset, out.sent, now);
+            }
+        }
+        if let Some(known) = self.engines.get_mut(&engine) {
+            let (connections, own) = (self.connections, self.own.clone());
+            known.mailbox = engine::start(engine, &known.uid, &known.endpoint, connections, own);
+        }
+    }
+}
+
+fn probed(probe: Probe) -> (Outcome, Option<sedgebeam_core::Load>) {
+    match probe {
+        Probe::Up(load) => (Outcome::Ok, load),
+        Probe::Down => (Outcome::Error, None),
+        Probe::Silent => (Outcome::TimedOut, None),
+        Probe::ConnectFailed => (Outcome::ConnectFailed, None),
+    }
+}
+
+/// Tells an engine's actor what needs no answer.
+fn post(mailbox: &EngineBox, message: ToEngine) {
+    if let Err(error) = mailbox.try_send(message) {
+        log::warn!("an engine's mailbox: {error}");
+    }
+}
--- /dev/null
+++ b/dispatcher/src/broker/requests.rs
@@ -0,0 +1,56 @@
+//! Open requests and their attempts.
+
+use super::{Answer, NewRequest, SessionKey};
+use crate::engine::EngineBox;
+use bytes::Bytes;
+use sedgebeam_core::{AttemptNo, ClassId, EngineId};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// An attempt that is out.
+pub struct Out {
+    pub engine: EngineId,
+    pub mailbox: EngineBox,
+    pub sent: Instant,
+}
+
+/// A request from its start until it is over and nothing of it is out.
+pub struct Open {
+    /// Taken when the final answer is given: there is no second one to give.
+    pub reply: Option<oneshot::Sender<Answer>>,
+    pub class: ClassId,
+    pub deadline: Instant,
+    pub statement: Bytes,
+    pub session: Option<SessionKey>,
+    pub rank: u8,
+    /// By number; `None` once it has had its outcome.
+    pub attempts: Vec<Option<Out>>,
+}
+
+impl Open {
+    pub fn new(request: NewRequest, reply: oneshot::Sender<Answer>) -> Open {
+        Open {
+            reply: Some(reply),
+            class: request.class,
+            deadline: request.deadline,
+            statement: request.statement,
+            session: request.session,
+            // The priority of what has none set.
+            rank: 1,
+            attempts: Vec::new(),
+        }
+    }
+
+    pub fn out(&self, number: AttemptNo) -> Option<&Out> {
+        self.attempts.get(number.0 as usize)?.as_ref()
+    }
+
+    pub fn all_out(&self) -> impl Iterator<Item = (AttemptNo, &Out)> {
+        let numbered = self.attempts.iter().enumerate();
+        numbered.filter_map(|(number, out)| Some((AttemptNo(number as u32), out.as_ref()?)))
+    }
+
+    pub fn is_settled(&self) -> bool {
+        self.reply.is_none() && self.all_out().next().is_none()
+    }
+}
--- /dev/null
+++ b/dispatcher/src/clock.rs
@@ -0,0 +1,38 @@
+//! The Unix clock in microseconds, advanced by the monotonic one so that it never goes back.
+
+use sedgebeam_core::Micros;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix: Micros,
+    at: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        Clock {
+            unix: span(unix.unwrap_or_default()),
+            at: Instant::now(),
+        }
+    }
+
+    pub fn micros(&self, instant: Instant) -> Micros {
+        self.unix + span(instant.saturating_duration_since(self.at))
+    }
+
+    pub fn instant(&self, micros: Micros) -> Instant {
+        self.at + duration(micros - self.unix)
+    }
+}
+
+pub fn span(duration: Duration) -> Micros {
+    Micros(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// A length of time, at most a day: timers far beyond any deadline must not overflow.
+pub fn duration(micros: Micros) -> Duration {
+    Duration::from_micros(micros.0.min(86_400_000_000))
+}
--- /dev/null
+++ b/dispatcher/src/engine/resp/codec.rs
@@ -0,0 +1,266 @@
+//! RESP arrays of bulk strings, and the commands and answers that they carry.
+
+use crate::engine::Attempt;
+use bytes::{BufMut, Bytes, BytesMut};
+use sedgebeam_core::{Load, Note, RequestId};
+use std::io;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The most that an answer may hold: a page is 6,000 bytes.
+const MOST_BULK: usize = 64 * 1024;
+const MOST_PARTS: usize = 8;
+const MOST_LINE: usize = 32;
+
+/// A command to an engine.
+#[derive(Clone, Debug)]
+pub enum Command {
+    Fetch(Attempt),
+    Abort(RequestId),
+    Renice(RequestId, u8),
+    More(RequestId, u32),
+    Done(RequestId),
+    Stats(u64),
+}
+
+/// What an answer is about: a request, or a probe's tag.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum About {
+    Request(RequestId),
+    Tag(u64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    Ok {
+        parts: u32,
+        work: Option<f64>,
+        load: Option<Load>,
+        rows: Bytes,
+    },
+    Busy,
+    Err,
+    Void,
+    Note(Option<Note>),
+    Rows {
+        page: u32,
+        rows: Bytes,
+    },
+    Up(Option<Load>),
+    Down,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub about: About,
+    pub word: Word,
+}
+
+#[derive(Default)]
+pub struct Resp;
+
+/// Tags of probes start with this letter, which no request's hexadecimal name does.
+const TAG: char = 'p';
+
+fn invalid(why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why)
+}
+
+fn put(bytes: &mut BytesMut, words: &[&[u8]]) {
+    let mut number = |mark: u8, value: usize| {
+        bytes.put_u8(mark);
+        bytes.put_slice(value.to_string().as_bytes());
+        bytes.put_slice(b"\r\n");
+    };
+    number(b'*', words.len());
+    for word in words {
+        bytes.put_u8(b'$');
+        bytes.put_slice(word.len().to_string().as_bytes());
+        bytes.put_slice(b"\r\n");
+        bytes.put_slice(word);
+        bytes.put_slice(b"\r\n");
+    }
+}
+
+impl Encoder<Command> for Resp {
+    type Error = io::Error;
+
+    fn encode(&mut self, command: Command, bytes: &mut BytesMut) -> io::Result<()> {
+        let hex = |id: RequestId| format!("{:016x}", id.0);
+        let tag = |tag: u64| format!("{TAG}{tag}");
+        match command {
+            Command::Fetch(attempt) => {
+                let wait = attempt.timeout.as_millis().max(1);
+                let fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
+                let id = hex(attempt.request);
+                put(
+                    bytes,
+                    &[
+                        b"fetch",
+                        id.as_bytes(),
+                        fields.as_bytes(),
+                        &attempt.statement,
+                    ],
+                );
+            }
+            Command::Abort(id) => put(bytes, &[b"abort", hex(id).as_bytes()]),
+            Command::Renice(id, rank) => {
+                put(
+                    bytes,
+                    &[b"renice", hex(id).as_bytes(), rank.to_string().as_bytes()],
+                );
+            }
+            Command::More(id, page) => {
+                put(
+                    bytes,
+                    &[b"more", hex(id).as_bytes(), page.to_string().as_bytes()],
+                );
+            }
+            Command::Done(id) => put(bytes, &[b"done", hex(id).as_bytes()]),
+            Command::Stats(number) => put(bytes, &[b"stats", tag(number).as_bytes()]),
+        }
+        Ok(())
+    }
+}
+
+/// A line that holds a count behind its mark: the count, and where the next byte stands.
+fn count(bytes: &[u8], start: usize, mark: u8, most: usize) -> io::Result<Option<(usize, usize)>> {
+    let rest = &bytes[start.min(bytes.len())..];
+    let Some(end) = rest.iter().take(MOST_LINE).position(|byte| *byte == b'\n') else {
+        let endless = rest.len() >= MOST_LINE;
+        return if endless {
+            Err(invalid("an endless count"))
+        } else {
+            Ok(None)
+        };
+    };
+    let line = rest[..end].strip_suffix(b"\r").unwrap_or(&rest[..end]);
+    let digits = line
+        .strip_prefix(&[mark])
+        .ok_or_else(|| invalid("not an array of bulk strings"))?;
+    let digits = std::str::from_utf8(digits).map_err(|_| invalid("not a count"))?;
+    let count: usize = digits.parse().map_err(|_| invalid("not a count"))?;
+    if count > most {
+        return Err(invalid("a count beyond what an answer may hold"));
+    }
+    Ok(Some((count, start + end + 1)))
+}
+
+/// Where the parts of the next array stand, and its whole length.
+fn frame(bytes: &[u8]) -> io::Result<Option<(Vec<(usize, usize)>, usize)>> {
+    let Some((parts, mut at)) = count(bytes, 0, b'*', MOST_PARTS)? else {
+        return Ok(None);
+    };
+    let mut places = Vec::with_capacity(parts);
+    for _ in 0..parts {
+        let Some((length, start)) = count(bytes, at, b'$', MOST_BULK)? else {
+            return Ok(None);
+        };
+        at = start + length + 2;
+        if bytes.len() < at {
+            return Ok(None);
+        }
+        if &bytes[at - 2..at] != b"\r\n" {
+            return Err(invalid("a bulk string without its end"));
+        }
+        places.push((start, start + length));
+    }
+    Ok(Some((places, at)))
+}
+
+impl Decoder for Resp {
+    type Item = Reply;
+    type Error = io::Error;
+
+    fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<Reply>> {
+        let Some((places, length)) = frame(bytes)? else {
+            return Ok(None);
+        };
+        let whole = bytes.split_to(length).freeze();
+        let part = |index: usize| {
+            places
+                .get(index)
+                .map(|(start, end)| whole.slice(*start..*end))
+        };
+        let (Some(id), Some(word)) = (part(0), part(1)) else {
+            return Err(invalid("an answer without id or word"));
+        };
+        let fields = part(2).unwrap_or_default();
+        let fields = Fields::parse(&fields)?;
+        Ok(Some(Reply {
+            about: about(&id)?,
+            word: reply_word(&word, &fields, part(3).unwrap_or_default())?,
+        }))
+    }
+}
+
+fn about(id: &[u8]) -> io::Result<About> {
+    let id = std::str::from_utf8(id).map_err(|_| invalid("an id that is not text"))?;
+    let about = match id.strip_prefix(TAG) {
+        Some(tag) => tag.parse().map(About::Tag),
+        None => u64::from_str_radix(id, 16).map(|id| About::Request(RequestId(id))),
+    };
+    about.map_err(|_| invalid("an id that was never given"))
+}
+
+fn reply_word(word: &[u8], fields: &Fields, rows: Bytes) -> io::Result<Word> {
+    Ok(match word {
+        b"OK" => Word::Ok {
+            parts: fields.number("parts").map_or(1, |parts| parts as u32),
+            work: fields.number("work"),
+            load: fields.load(),
+            rows,
+        },
+        b"BUSY" => Word::Busy,
+        b"ERR" => Word::Err,
+        b"VOID" => Word::Void,
+        b"NOTE" => Word::Note(fields.note()),
+        b"ROWS" => Word::Rows {
+            page: fields
+                .number("part_no")
+                .ok_or_else(|| invalid("a page without number"))? as u32,
+            rows,
+        },
+        b"UP" => Word::Up(fields.load()),
+        b"DOWN" => Word::Down,
+        _ => return Err(invalid("an answer of an unknown word")),
+    })
+}
+
+/// The fields of an answer: `name=value,name=value`, or `-` for none.
+struct Fields<'a>(Vec<(&'a str, &'a str)>);
+
+impl<'a> Fields<'a> {
+    fn parse(bytes: &'a [u8]) -> io::Result<Fields<'a>> {
+        let text = std::str::from_utf8(bytes).map_err(|_| invalid("fields that are not text"))?;
+        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+        Ok(Fields(pairs.collect()))
+    }
+
+    fn text(&self, name: &str) -> Option<&'a str> {
+        let found = self.0.iter().find(|(known, _)| *known == name);
+        found.map(|(_, value)| *value)
+    }
+
+    fn number(&self, name: &str) -> Option<f64> {
+        self.text(name)?.parse().ok()
+    }
+
+    fn load(&self) -> Option<Load> {
+        let values = self.text("gauges")?.split(';').filter_map(|gauge| {
+            let (name, value) = gauge.split_once(':')?;
+            Some((name, value.parse().ok()?))
+        });
+        Some(sedgebeam_settings::load(values))
+    }
+
+    fn note(&self) -> Option<Note> {
+        let value = self.number("value")?;
+        Some(match self.text("res")? {
+            "p" => Note::Progress(value),
+            "s" => Note::Spills(value),
+            "w" if value >= 2.0 => Note::WaitsForLoad,
+            "w" => Note::WaitsForMemory,
+            _ => return None,
+        })
+    }
+}
--- /dev/null
+++ b/dispatcher/src/front/mod.rs
@@ -0,0 +1,25 @@
+//! What clients speak to: thin fronts that decode a request, call the broker and encode its answer.
+
+pub mod pg;
+pub mod statement;
+
+use crate::broker::{BrokerBox, Failure};
+use sedgebeam_settings::Names;
+use std::sync::Arc;
+
+/// What every front needs.
+#[derive(Clone)]
+pub struct Shared {
+    pub broker: BrokerBox,
+    pub names: Arc<Names>,
+}
+
+/// What a client is told of a failure.
+pub fn reason(failure: Failure) -> &'static str {
+    match failure {
+        Failure::Unanswered => "no ledger engine answered; the statement may have run",
+        Failure::Cancelled => "the statement was cancelled; it may have run",
+        Failure::Duplicate => "a request of this txn is open already",
+        Failure::Ending => "the dispatcher is ending; the statement may have run",
+    }
+}
--- /dev/null
+++ b/dispatcher/src/front/pg/mod.rs
@@ -0,0 +1,235 @@
+//! The platform's front: sessions of the PostgreSQL protocol, one actor each.
+
+mod codec;
+
+use super::{Shared, reason, statement};
+use crate::broker::{self, Answer, Delivery, Failure, SessionKey, ToBroker};
+use bytes::Bytes;
+use codec::{Error, Pg, Said, Say};
+use futures::{SinkExt, StreamExt};
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::codec::Framed;
+
+/// A connection that has not said what it wants by then is closed.
+const STARTUP: Duration = Duration::from_secs(10);
+
+type Wire = Framed<TcpStream, Pg>;
+
+/// Serves a connection until it ends; `ending` tells that idle sessions should close.
+pub async fn serve(
+    stream: TcpStream,
+    shared: Shared,
+    key: SessionKey,
+    ending: watch::Receiver<bool>,
+) {
+    let session = Session {
+        wire: Framed::new(stream, Pg::default()),
+        shared,
+        key,
+        ending,
+        held: None,
+    };
+    if let Err(error) = session.run().await {
+        log::debug!("session {}: {error}", key.0);
+    }
+}
+
+struct Session {
+    wire: Wire,
+    shared: Shared,
+    key: SessionKey,
+    ending: watch::Receiver<bool>,
+    /// What the client said while its last query was under way.
+    held: Option<Said>,
+}
+
+impl Session {
+    async fn run(mut self) -> io::Result<()> {
+        let started = timeout(STARTUP, self.start()).await;
+        if !started.map_err(io::Error::other)?? {
+            return Ok(());
+        }
+        while let Some(said) = self.listen().await? {
+            match said {
+                Said::Query(text) => {
+                    if !self.query(text).await? {
+                        break;
+                    }
+                }
+                Said::Terminate => break,
+                Said::Sync => self.wire.send(Say::Ready).await?,
+                said => self.unsupported(&said).await?,
+            }
+        }
+        Ok(())
+    }
+
+    /// The start of a session; false where the connection wanted something else.
+    async fn start(&mut self) -> io::Result<bool> {
+        while let Some(said) = self.wire.next().await {
+            match said? {
+                Said::Encrypt => self.wire.send(Say::NoEncryption).await?,
+                Said::Startup => {
+                    self.wire.send(Say::Welcome(self.key.0)).await?;
+                    return Ok(true);
+                }
+                Said::Cancel(key) => {
+                    let cancel = ToBroker::Cancel(SessionKey(key));
+                    // A broker that is gone has nothing to cancel.
+                    let _ = self.shared.broker.send(cancel).await;
+                    return Ok(false);
+                }
+                _ => return Ok(false),
+            }
+        }
+        Ok(false)
+    }
+
+    /// What the client says next; `None` when it has gone, or when the dispatcher is ending.
+    async fn listen(&mut self) -> io::Result<Option<Said>> {
+        if let Some(said) = self.held.take() {
+            return Ok(Some(said));
+        }
+        tokio::select! {
+            biased;
+            said = self.wire.next() => match said {
+                Some(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
+                    let message = error.to_string();
+                    let told = Error { code: "08P01", message, hint: None };
+                    self.wire.send(Say::Error(told)).await?;
+                    Ok(None)
+                }
+                said => said.transpose(),
+            },
+            () = ended(&mut self.ending) => Ok(None),
+        }
+    }
+
+    async fn unsupported(&mut self, said: &Said) -> io::Result<()> {
+        let message = format!("only simple queries are served here, not {said:?}");
+        self.wire
+            .send(Say::Error(Error {
+                code: "0A000",
+                message,
+                hint: None,
+            }))
+            .await
+    }
+
+    /// Answers a query; false when the client has gone meanwhile.
+    async fn query(&mut self, text: Bytes) -> io::Result<bool> {
+        let came = Instant::now();
+        if is_empty(&text) {
+            self.wire.feed(Say::Empty).await?;
+            self.wire.send(Say::Ready).await?;
+            return Ok(true);
+        }
+        let request = statement::read(&text, came, &self.shared.names, Some(self.key));
+        let answer = match request {
+            Ok(request) => {
+                let pending = broker::submit(&self.shared.broker, request).await;
+                match self.wait(pending).await? {
+                    Some(answer) => answer,
+                    None => return Ok(false),
+                }
+            }
+            Err(statement::Unusable(message)) => {
+                let told = Error {
+                    code: "42601",
+                    message,
+                    hint: None,
+                };
+                self.wire.feed(Say::Error(told)).await?;
+                self.wire.send(Say::Ready).await?;
+                return Ok(true);
+            }
+        };
+        match answer {
+            Answer::Rows(delivery) => self.pass(delivery).await?,
+            Answer::Refused { retry_after } => {
+                let hint = format!("try again in {} ms", retry_after.as_millis().max(1));
+                let message = "too busy to run the statement; it did not run".to_string();
+                let told = Error {
+                    code: "53300",
+                    message,
+                    hint: Some(hint),
+                };
+                self.wire.feed(Say::Error(told)).await?;
+            }
+            Answer::Failed(failure) => self.wire.feed(Say::Error(failed(failure))).await?,
+        }
+        self.wire.send(Say::Ready).await?;
+        Ok(true)
+    }
+
+    /// Waits for the answer and watches the client meanwhile; `None` when it has gone.
+    async fn wait(&mut self, mut pending: broker::Pending) -> io::Result<Option<Answer>> {
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut pending => return Ok(Some(answer)),
+                said = self.wire.next(), if self.held.is_none() => match said.transpose()? {
+                    None | Some(Said::Terminate) => return Ok(None),
+                    said => self.held = said,
+                }
+            }
+        }
+    }
+
+    /// Passes a result on, page by page as the client takes them.
+    async fn pass(&mut self, mut delivery: Delivery) -> io::Result<()> {
+        let mut rows = 0;
+        let deadline = delivery.deadline();
+        self.wire.feed(Say::Columns).await?;
+        loop {
+            match delivery.next().await {
+                Ok(Some(page)) => {
+                    rows += page.rows.iter().filter(|byte| **byte == b'\n').count() as u64;
+                    self.wire.feed(Say::Rows(page)).await?;
+                    // A client that takes nothing until its deadline has gone.
+                    let taken = timeout_at(deadline, self.wire.flush()).await;
+                    taken.map_err(io::Error::other)??;
+                }
+                Ok(None) => return self.wire.feed(Say::Complete(rows)).await,
+                Err(broker::Broken) => {
+                    let message = "the rest of the result was lost with its engine".to_string();
+                    let told = Error {
+                        code: "58030",
+                        message,
+                        hint: None,
+                    };
+                    return self.wire.feed(Say::Error(told)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Waits until the dispatcher is ending.
+async fn ended(ending: &mut watch::Receiver<bool>) {
+    // A sender that is gone has ended too.
+    let _ = ending.wait_for(|ending| *ending).await;
+}
+
+fn is_empty(text: &[u8]) -> bool {
+    let blank = |byte: &u8| byte.is_ascii_whitespace() || *byte == b';';
+    text.iter().all(blank)
+}
+
+fn failed(failure: Failure) -> Error {
+    let code = match failure {
+        Failure::Unanswered => "58000",
+        Failure::Cancelled => "57014",
+        Failure::Duplicate => "42710",
+        Failure::Ending => "57P01",
+    };
+    Error {
+        code,
+        message: reason(failure).to_string(),
+        hint: None,
+    }
+}
--- /dev/null
+++ b/dispatcher/src/front/statement.rs
@@ -0,0 +1,245 @@
+//! A statement with its fields in a comment ahead of it: what both fronts read alike.
+
+use crate::broker::{NewRequest, SessionKey};
+use crate::clock::duration;
+use bytes::Bytes;
+use sedgebeam_core::{GroupId, Micros, RequestId};
+use sedgebeam_settings::{Names, micros};
+use tokio::time::Instant;
+
+/// The schema whose names are not counted.
+const STAGING: &str = "staging";
+
+/// Words behind which a table is named.
+const BEFORE_TABLE: [&str; 8] = [
+    "from", "into", "join", "update", "table", "only", "using", "copy",
+];
+
+/// What is wrong with a statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unusable(pub String);
+
+fn unusable(name: &str) -> Unusable {
+    Unusable(format!(
+        "the field {name:?} in the statement's comment is missing or unusable"
+    ))
+}
+
+/// Reads a request that came whole at `came`.
+pub fn read(
+    text: &Bytes,
+    came: Instant,
+    names: &Names,
+    session: Option<SessionKey>,
+) -> Result<NewRequest, Unusable> {
+    let whole = std::str::from_utf8(text).map_err(|_| Unusable("not UTF-8".to_string()))?;
+    let (fields, statement) = split(whole)
+        .ok_or_else(|| Unusable("the statement begins with no comment of fields".to_string()))?;
+    let field = |name: &str| {
+        let mut pairs = fields
+            .split(',')
+            .filter_map(|pair| pair.trim().split_once('='));
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
+    };
+    let number = |name: &str| match field(name) {
+        None => Ok(0.0),
+        Some(text) => match text.parse::<f64>() {
+            Ok(value) if value.is_finite() && value >= 0.0 => Ok(value),
+            _ => Err(unusable(name)),
+        },
+    };
+    let class = field("verb").and_then(|verb| names.class(verb));
+    let limit = number("limit")?;
+    if limit == 0.0 {
+        return Err(unusable("limit"));
+    }
+    let id = field("txn").filter(|txn| txn.len() <= 16);
+    let id = id.and_then(|txn| u64::from_str_radix(txn, 16).ok());
+    let start = whole.len() - statement.len();
+    Ok(NewRequest {
+        id: RequestId(id.ok_or_else(|| unusable("txn"))?),
+        class: class.ok_or_else(|| unusable("verb"))?,
+        tenant: field("team").and_then(|team| names.tenant(team)),
+        deadline: came + duration(micros(limit)),
+        work: match number("cpu")? {
+            0.0 => Micros(0),
+            millis => micros(millis),
+        },
+        memory_mb: number("memory")?,
+        group: GroupId(group(statement).unwrap_or_default()),
+        statement: text.slice(start..),
+        session,
+    })
+}
+
+/// The fields and the statement behind their comment.
+fn split(text: &str) -> Option<(&str, &str)> {
+    let rest = text.trim_start().strip_prefix("/*")?;
+    let (fields, statement) = rest.split_once("*/")?;
+    Some((fields.trim(), statement.trim_start()))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Token<'a> {
+    Name(&'a str),
+    Dot,
+    Other,
+}
+
+/// The number of the table group: that in the name of the schema of the first table named, or, where no
+/// table stands behind its usual word, of the first qualified name.
+pub fn group(statement: &str) -> Option<u64> {
+    let tokens: Vec<Token> = Tokens(statement).collect();
+    let mut first = None;
+    for (place, three) in tokens.windows(3).enumerate() {
+        let [Token::Name(schema), Token::Dot, Token::Name(_)] = three else {
+            continue;
+        };
+        let Some(number) = numbered(schema) else {
+            continue;
+        };
+        let before = place.checked_sub(1).map(|before| tokens[before]);
+        if before == Some(Token::Dot) {
+            continue;
+        }
+        let table = matches!(before, Some(Token::Name(word))
+            if BEFORE_TABLE.iter().any(|known| word.eq_ignore_ascii_case(known)));
+        if table {
+            return Some(number);
+        }
+        first = first.or(Some(number));
+    }
+    first
+}
+
+/// The number behind the underscore of a schema's name.
+fn numbered(schema: &str) -> Option<u64> {
+    if schema.eq_ignore_ascii_case(STAGING) {
+        return None;
+    }
+    let (_, number) = schema.rsplit_once('_')?;
+    let digits = !number.is_empty() && number.bytes().all(|byte| byte.is_ascii_digit());
+    number.parse().ok().filter(|_| digits)
+}
+
+/// Splits a statement into names, dots and the rest; strings and comments are one piece each.
+struct Tokens<'a>(&'a str);
+
+impl<'a> Tokens<'a> {
+    fn take(&mut self, length: usize) -> &'a str {
+        let (taken, rest) = self.0.split_at(length);
+        self.0 = rest;
+        taken
+    }
+
+    /// Takes up to and with `end`, or all where it does not come.
+    fn through(&mut self, from: usize, end: &str) -> &'a str {
+        let found = self.0[from..].find(end);
+        self.take(found.map_or(self.0.len(), |place| from + place + end.len()))
+    }
+
+    /// A string in quotes; a doubled quote, or with `escapes` one behind a backslash, does not end it.
+    fn quoted(&mut self, quote: char, escapes: bool) -> &'a str {
+        let mut chars = self.0.char_indices().skip(1).peekable();
+        while let Some((place, char)) = chars.next() {
+            if escapes && char == '\\' {
+                chars.next();
+            } else if char == quote && chars.next_if(|(_, next)| *next == quote).is_none() {
+                return self.take(place + 1);
+            }
+        }
+        self.take(self.0.len())
+    }
+
+    /// A comment between marks, which may hold others.
+    fn comment(&mut self) {
+        let (mut depth, mut at) = (0usize, 0);
+        loop {
+            let rest = &self.0[at..];
+            let open = rest.find("/*").unwrap_or(usize::MAX);
+            let close = rest.find("*/").unwrap_or(usize::MAX);
+            if close == usize::MAX {
+                at = self.0.len();
+                break;
+            }
+            depth = if open < close {
+                depth + 1
+            } else {
+                depth.saturating_sub(1)
+            };
+            at += open.min(close) + 2;
+            if depth == 0 {
+                break;
+            }
+        }
+        self.take(at);
+    }
+
+    /// A string between marks like `$tag$`; a lone `$` is nothing.
+    fn dollars(&mut self) {
+        let tag = self.0[1..].find('$').map(|end| &self.0[..end + 2]);
+        let plain = |tag: &&str| {
+            let mut name = tag[1..tag.len() - 1].chars();
+            name.all(|char| char.is_alphanumeric() || char == '_')
+        };
+        match tag.filter(plain) {
+            Some(tag) => self.through(tag.len(), tag),
+            None => self.take(1),
+        };
+    }
+
+    fn name(&mut self) -> &'a str {
+        let part = |char: char| char.is_alphanumeric() || char == '_' || char == '$';
+        let end = self.0.find(|char| !part(char)).unwrap_or(self.0.len());
+        self.take(end)
+    }
+}
+
+impl<'a> Iterator for Tokens<'a> {
+    type Item = Token<'a>;
+
+    fn next(&mut self) -> Option<Token<'a>> {
+        loop {
+            let first = self.0.chars().next()?;
+            match first {
+                '-' if self.0.starts_with("--") => {
+                    self.through(0, "\n");
+                }
+                '/' if self.0.starts_with("/*") => self.comment(),
+                '.' => {
+                    self.take(1);
+                    return Some(Token::Dot);
+                }
+                '\'' => {
+                    self.quoted('\'', false);
+                    return Some(Token::Other);
+                }
+                '"' => {
+                    let name = self.quoted('"', false);
+                    return Some(Token::Name(name.trim_matches('"')));
+                }
+                '$' => {
+                    self.dollars();
+                    return Some(Token::Other);
+                }
+                char if char.is_alphabetic() || char == '_' => {
+                    let name = self.name();
+                    if name.eq_ignore_ascii_case("e") && self.0.starts_with('\'') {
+                        self.quoted('\'', true);
+                        return Some(Token::Other);
+                    }
+                    return Some(Token::Name(name));
+                }
+                char if char.is_whitespace() => {
+                    self.take(char.len_utf8());
+                }
+                char => {
+                    self.take(char.len_utf8());
+                    return Some(Token::Other);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/roster.rs
@@ -0,0 +1,238 @@
+//! The change log's actor: follows the list of ledger engines and tells the broker.
+
+use crate::broker::{BrokerBox, ToBroker};
+use futures::StreamExt;
+use miniserde::{Deserialize, json};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Decoder, FramedRead};
+
+/// A change of the list, as the change log tells it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Change {
+    pub seq: u64,
+    pub fleet: Fleet,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Fleet {
+    pub all: Option<bool>,
+    pub targets: Vec<Target>,
+}
+
+/// An engine as listed.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Target {
+    pub uid: String,
+    pub endpoint: String,
+    pub az: Option<String>,
+    pub model: Option<String>,
+    pub pod_group: Option<u64>,
+    pub state: String,
+    pub boot_ms: Option<f64>,
+}
+
+/// What a list stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    Saved,
+    Complete,
+    Changes,
+}
+
+/// The longest line that the change log may write: a list of a few thousand engines.
+const MOST_LINE: usize = 1 << 20;
+/// A comment comes each second; after this long without a byte the connection is taken for dead.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// The length of the line end behind a chunk.
+const CHUNK_END: usize = 2;
+const CONNECT: Duration = Duration::from_millis(1000);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Folds the changes up to the start into the list that they leave.
+pub fn fold(changes: Vec<Change>) -> Vec<Target> {
+    let mut list: Vec<Target> = Vec::new();
+    for change in changes {
+        if change.fleet.all == Some(true) {
+            list.clear();
+        }
+        for target in change.fleet.targets {
+            list.retain(|known| known.uid != target.uid);
+            list.push(target);
+        }
+    }
+    list.retain(|target| target.state != "removed");
+    list
+}
+
+/// Follows the change log for ever.
+pub async fn follow(address: SocketAddr, mut seq: u64, broker: BrokerBox) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let before = seq;
+        match listen(address, &mut seq, &broker).await {
+            Ok(()) => log::info!("the change log ended the connection after {seq}"),
+            Err(error) => log::warn!("the change log after {seq}: {error}"),
+        }
+        if broker.is_closed() {
+            return;
+        }
+        pause = if seq > before {
+            FIRST_PAUSE
+        } else {
+            (pause * 2).min(LONGEST_PAUSE)
+        };
+        sleep(pause).await;
+    }
+}
+
+/// One connection to the change log, until it ends.
+async fn listen(address: SocketAddr, seq: &mut u64, broker: &BrokerBox) -> io::Result<()> {
+    let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no word for too long");
+    let mut stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .map_err(late)??;
+    stream.set_nodelay(true)?;
+    let request = format!(
+        "GET /changes HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {seq}\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut lines = FramedRead::new(stream, Events::default());
+    // A gap shows on the connection on which it came: what follows is trusted only after a whole list.
+    while let Some(event) = timeout(SILENCE, lines.next()).await.map_err(late)? {
+        let Some(change) = event? else { continue };
+        let whole = change.fleet.all == Some(true);
+        if !whole && change.seq <= *seq {
+            continue;
+        }
+        if !whole && change.seq > *seq + 1 {
+            let why = format!("{} follows {seq}: asking for the whole list", change.seq);
+            *seq = 0;
+            return Err(io::Error::other(why));
+        }
+        *seq = change.seq;
+        let listing = if whole {
+            Listing::Complete
+        } else {
+            Listing::Changes
+        };
+        let told = broker
+            .send(ToBroker::List(listing, change.fleet.targets))
+            .await;
+        if told.is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Decodes the answer of the change log: its head, and then its events; `None` for a sign of life.
+#[derive(Default)]
+struct Events {
+    begun: bool,
+    chunked: bool,
+    /// Bytes of the chunk under way that are still to come, with the line end behind it.
+    chunk: usize,
+    text: Vec<u8>,
+    data: Vec<u8>,
+}
+
+fn unreadable(why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why)
+}
+
+impl Events {
+    /// Takes the head of the answer; false while it is not whole.
+    fn head(&mut self, bytes: &mut bytes::BytesMut) -> io::Result<bool> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        let status = response.parse(bytes).map_err(|_| unreadable("not HTTP"))?;
+        let httparse::Status::Complete(length) = status else {
+            return if bytes.len() > MOST_LINE {
+                Err(unreadable("an endless head"))
+            } else {
+                Ok(false)
+            };
+        };
+        if response.code != Some(200) {
+            return Err(unreadable("its status is not 200"));
+        }
+        self.chunked = response.headers.iter().any(|header| {
+            header.name.eq_ignore_ascii_case("transfer-encoding")
+                && header.value.eq_ignore_ascii_case(b"chunked")
+        });
+        self.begun = true;
+        let _ = bytes.split_to(length);
+        Ok(true)
+    }
+
+    /// Moves what came into the text, without the frame of its chunks.
+    fn body(&mut self, bytes: &mut bytes::BytesMut) -> io::Result<()> {
+        if !self.chunked {
+            self.text.extend_from_slice(&bytes.split());
+        }
+        while self.chunked && !bytes.is_empty() {
+            if self.chunk > 0 {
+                let (text, end) = (self.chunk.saturating_sub(CHUNK_END), self.chunk);
+                let part = bytes.split_to(if text > 0 { text } else { end }.min(bytes.len()));
+                self.chunk -= part.len();
+                if text > 0 {
+                    self.text.extend_from_slice(&part);
+                }
+                continue;
+            }
+            match httparse::parse_chunk_size(bytes).map_err(|_| unreadable("a bad chunk"))? {
+                httparse::Status::Partial => break,
+                httparse::Status::Complete((start, size)) => {
+                    let size = usize::try_from(size).unwrap_or(usize::MAX);
+                    self.chunk = size.saturating_add(CHUNK_END);
+                    let _ = bytes.split_to(start);
+                }
+            }
+        }
+        if self.text.len() > MOST_LINE {
+            Err(unreadable("an endless line"))
+        } else {
+            Ok(())
+        }
+    }
+
+    /// The next line, without its end.
+    fn line(&mut self) -> Option<Vec<u8>> {
+        let end = self.text.iter().position(|byte| *byte == b'\n')?;
+        let mut line: Vec<u8> = self.text.drain(..=end).collect();
+        line.truncate(end);
+        line.pop_if(|byte| *byte == b'\r');
+        Some(line)
+    }
+}
+
+impl Decoder for Events {
+    type Item = Option<Change>;
+    type Error = io::Error;
+
+    fn decode(&mut self, bytes: &mut bytes::BytesMut) -> io::Result<Option<Self::Item>> {
+        if !self.begun && !self.head(bytes)? {
+            return Ok(None);
+        }
+        self.body(bytes)?;
+        while let Some(line) = self.line() {
+            if let Some(data) = line.strip_prefix(b"data:") {
+                self.data.extend_from_slice(data);
+            } else if line.is_empty() && !self.data.is_empty() {
+                let data = std::mem::take(&mut self.data);
+                let text = std::str::from_utf8(&data).map_err(|_| unreadable("not UTF-8"))?;
+                let change = json::from_str(text).map_err(|_| unreadable("an unreadable event"))?;
+                return Ok(Some(Some(change)));
+            } else if line.starts_with(b":") {
+                return Ok(Some(None));
+            }
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/dispatcher/src/serve.rs
@@ -0,0 +1,123 @@
+//! Starts the actors, accepts clients, and ends in order.
+
+use crate::broker::{self, SessionKey, ToBroker};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::front::{Shared, pg};
+use crate::roster::{self, Listing};
+use crate::supervise;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// For so long after SIGTERM connections and requests go on coming, with some to spare.
+const LAST_CALL: Duration = Duration::from_millis(600);
+/// The share of the descriptors that sessions may hold: the platform's clients hold a third.
+const SESSIONS_PART: f64 = 0.55;
+/// A pause after an accept that failed, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves until told to end, and until all that was taken is answered.
+pub async fn run(config: Config) -> io::Result<()> {
+    let clock = Clock::start();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (broker, mailbox, incoming) = broker::new(&config, clock);
+    supervise::vital("the broker", broker.run(incoming));
+    let saved = ToBroker::List(Listing::Saved, roster::fold(config.known.changes.clone()));
+    mailbox.send(saved).await.map_err(io::Error::other)?;
+    if let Some(address) = config.changelog {
+        let follow = roster::follow(address, config.known.seq, mailbox.clone());
+        supervise::vital("the change log", follow);
+    }
+    let shared = Shared {
+        broker: mailbox,
+        names: Arc::new(config.names.clone()),
+    };
+    let (end, ending) = watch::channel(false);
+    // Every session holds a sender; when the last is dropped, all have ended.
+    let (alive, mut all_ended) = mpsc::channel::<()>(1);
+    let listener = TcpListener::bind(config.listen).await?;
+    log::info!(
+        "{} serves PostgreSQL clients on {}",
+        config.name,
+        listener.local_addr()?
+    );
+    let most = (config.sockets as f64 * SESSIONS_PART) as usize;
+    let sessions = Sessions {
+        shared,
+        ending,
+        alive,
+        most,
+        next: config.seed,
+    };
+    let accepting = supervise::vital("accepting", sessions.accept(listener, end.subscribe()));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("ending: last call");
+    sleep_until(Instant::now() + LAST_CALL).await;
+    // Accepting has ended by itself once this is sent; sessions end when they are idle.
+    let _ = end.send(true);
+    let _ = accepting.await;
+    while all_ended.recv().await.is_some() {}
+    log::info!("ended: all that was taken is answered");
+    Ok(())
+}
+
+struct Sessions {
+    shared: Shared,
+    ending: watch::Receiver<bool>,
+    alive: mpsc::Sender<()>,
+    most: usize,
+    next: u64,
+}
+
+impl Sessions {
+    async fn accept(mut self, listener: TcpListener, mut end: watch::Receiver<bool>) {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = end.wait_for(|end| *end) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => self.start(stream),
+                Err(error) => {
+                    log::warn!("accepting: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, stream: TcpStream) {
+        // One sender is kept here, and one by each session.
+        if self.alive.strong_count() > self.most {
+            log::warn!("more than {} sessions: a connection is closed", self.most);
+            return;
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("a connection ended at once: {error}");
+            return;
+        }
+        self.next = self.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let session = pg::serve(
+            stream,
+            self.shared.clone(),
+            SessionKey(self.next),
+            self.ending.clone(),
+        );
+        let alive = self.alive.clone();
+        let task = async move {
+            session.await;
+            drop(alive);
+        };
+        supervise::watch("a session".to_string(), task, || {});
+    }
+}
--- /dev/null
+++ b/dispatcher/src/supervise.rs
@@ -0,0 +1,35 @@
+//! No task's death passes silently: a panic is logged, and what depends on the task is told.
+
+use std::future::Future;
+use tokio::task::JoinHandle;
+
+/// Runs a task; should it panic, that is logged and `died` is called.
+pub fn watch<F>(
+    name: String,
+    task: F,
+    died: impl FnOnce() + Send + 'static,
+) -> JoinHandle<Option<F::Output>>
+where
+    F: Future + Send + 'static,
+    F::Output: Send,
+{
+    tokio::spawn(async move {
+        match tokio::spawn(task).await {
+            Ok(output) => Some(output),
+            Err(error) => {
+                log::error!("{name} died: {error}");
+                died();
+                None
+            }
+        }
+    })
+}
+
+/// Runs a task without which the dispatcher is of no use: its panic ends the process.
+pub fn vital<F>(name: &str, task: F) -> JoinHandle<Option<F::Output>>
+where
+    F: Future + Send + 'static,
+    F::Output: Send,
+{
+    watch(name.to_string(), task, || std::process::exit(1))
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,332 @@
+//! The settings object of a gateway: how it is decoded, and what it means to the decision module.
+//!
+//! A key that is absent, or null, has its default; a key that is not known is skipped.
+
+use miniserde::Deserialize;
+use sedgebeam_core::{
+    AttemptBudget, Class, ClassId, Effect, Group, Kind, KindId, ListMode, Load, Micros, Reports,
+    Settings, Tenant, TenantId, ZoneId,
+};
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Facts {
+    balancers: Option<u32>,
+    services: Option<Vec<Service>>,
+    tenants: Option<Vec<Account>>,
+    kinds: Option<Vec<String>>,
+    zones: Option<Vec<String>>,
+    zone: Option<String>,
+    registry_mode: Option<String>,
+    domain: Option<Domain>,
+    limits: Option<Limits>,
+    rules: Option<Rules>,
+    telemetry: Option<Telemetry>,
+    tick: Option<f64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Service {
+    name: String,
+    worth: Option<f64>,
+    late_share: Option<f64>,
+    on_time: Option<f64>,
+    aim_stretch: Option<f64>,
+    give_up: Option<f64>,
+    effect: Option<String>,
+    group: Option<String>,
+    window: Option<f64>,
+    fifo_by_key: Option<bool>,
+    stream: Option<bool>,
+    kinds_allowed: Option<Vec<String>>,
+    confined_to: Option<Vec<String>>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Account {
+    name: String,
+    portion: Option<f64>,
+    allowance_per_s: Option<f64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Domain {
+    class_load: Option<Vec<bool>>,
+    class_waits: Option<Vec<bool>>,
+    threads_by_class: Option<Vec<f64>>,
+    size_cores: Option<Vec<f64>>,
+    size_mb: Option<Vec<f64>>,
+    max_grant_share: Option<f64>,
+    takes_grants: Option<bool>,
+    on_shortage: Option<String>,
+    priorities: Option<bool>,
+    progress: Option<f64>,
+    tells_cost: Option<bool>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Limits {
+    cancel: Option<bool>,
+    max_attempts: Option<u32>,
+    max_retry_after: Option<f64>,
+    retry_after: Option<bool>,
+    probes: Option<bool>,
+    second_copies: Option<bool>,
+    max_streams: Option<u32>,
+    max_open: Option<u32>,
+    connect_timeout: Option<f64>,
+    conn_idle: Option<f64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Rules {
+    answer_slack: Option<f64>,
+    drain_grace: Option<f64>,
+    fall_multiple: Option<f64>,
+    overload_for: Option<f64>,
+    start_capacity: Option<f64>,
+    warm_after: Option<f64>,
+    key_quiet: Option<f64>,
+    extra_free: Option<f64>,
+    extra_per_request: Option<f64>,
+    look_back: Option<f64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Telemetry {
+    how: Option<String>,
+}
+
+/// What a program needs to translate messages: the names behind the numbers.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+    pub tells_cost: bool,
+}
+
+/// How connections to engines are kept; the decision module is not told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Connections {
+    pub max_streams: usize,
+    pub connect_timeout: Micros,
+    pub idle: Micros,
+    /// The requests that may be open at once.
+    pub max_open: usize,
+}
+
+/// Where a name stands in a list of names.
+pub fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+pub fn micros(millis: f64) -> Micros {
+    Micros((millis * 1000.0).round().max(0.0) as u64)
+}
+
+pub fn millis(micros: Micros) -> f64 {
+    micros.0 as f64 / 1000.0
+}
+
+/// A load report from its named values, under the names of the settings or of the engines' wire.
+pub fn load<'a>(values: impl IntoIterator<Item = (&'a str, f64)>) -> Load {
+    let mut load = Load::default();
+    for (name, value) in values {
+        match name {
+            "active" | "inflight" => load.active = Some(value),
+            "waiting" | "queue" => load.waiting = Some(value),
+            "cpu" | "util" => load.busy = Some(value),
+            "x0" => load.granted = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
+
+impl Names {
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        place(&self.classes, name).map(ClassId)
+    }
+
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        place(&self.tenants, name).map(TenantId)
+    }
+
+    pub fn kind(&self, name: &str) -> Option<KindId> {
+        place(&self.kinds, name).map(KindId)
+    }
+
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
+        place(&self.zones, name).map(ZoneId)
+    }
+}
+
+fn time(millis: Option<f64>) -> Micros {
+    micros(millis.unwrap_or_default())
+}
+
+fn at<T: Copy>(values: &Option<Vec<T>>, index: usize) -> Option<T> {
+    values.as_ref()?.get(index).copied()
+}
+
+fn list<T>(values: &Option<Vec<T>>) -> &[T] {
+    values.as_deref().unwrap_or_default()
+}
+
+/// The places of the named ones, where a restriction is told.
+fn places(known: &[String], names: &Option<Vec<String>>) -> Option<Vec<usize>> {
+    let names = names.as_ref()?;
+    Some(names.iter().filter_map(|name| place(known, name)).collect())
+}
+
+impl Service {
+    fn effect(&self) -> Effect {
+        let effect = self.effect.as_deref().unwrap_or_default();
+        match (effect, self.group.as_deref().unwrap_or_default()) {
+            ("repeatable", _) => Effect::Repeatable,
+            ("by_key", "zone") => Effect::Keyed(Group::Zone),
+            ("by_key", "cell") => Effect::Keyed(Group::Cell),
+            ("by_key", _) => Effect::Keyed(Group::All),
+            // What is not known to be safe is never sent twice.
+            _ => Effect::Once,
+        }
+    }
+}
+
+impl Facts {
+    pub fn names(&self) -> Names {
+        let domain = self.domain.as_ref();
+        let services = list(&self.services).iter();
+        let tenants = list(&self.tenants).iter();
+        Names {
+            classes: services.map(|service| service.name.clone()).collect(),
+            tenants: tenants.map(|tenant| tenant.name.clone()).collect(),
+            kinds: list(&self.kinds).to_vec(),
+            zones: list(&self.zones).to_vec(),
+            tells_cost: domain.and_then(|d| d.tells_cost).unwrap_or_default(),
+        }
+    }
+
+    pub fn connections(&self) -> Connections {
+        let limits = self.limits.clone().unwrap_or_default();
+        Connections {
+            max_streams: limits.max_streams.unwrap_or(32).max(1) as usize,
+            connect_timeout: micros(limits.connect_timeout.unwrap_or(250.0)),
+            idle: micros(limits.conn_idle.unwrap_or(30_000.0)),
+            max_open: limits.max_open.unwrap_or(20_000).max(1) as usize,
+        }
+    }
+
+    /// The longest that clients stay away on advice, where a front gives them any.
+    pub fn longest_advice(&self) -> Micros {
+        let limits = self.limits.as_ref();
+        micros(limits.and_then(|l| l.max_retry_after).unwrap_or(1000.0))
+    }
+
+    fn class(&self, index: usize, service: &Service, domain: &Domain) -> Class {
+        let (kinds, zones) = (list(&self.kinds), list(&self.zones));
+        let only_kinds = places(kinds, &service.kinds_allowed);
+        let only_zones = places(zones, &service.confined_to);
+        Class {
+            name: service.name.clone(),
+            worth: service.worth.unwrap_or_default(),
+            late_share: service.late_share.unwrap_or_default(),
+            on_time: time(service.on_time),
+            aim_stretch: service.aim_stretch.unwrap_or_default(),
+            give_up: time(service.give_up),
+            effect: service.effect(),
+            window: time(service.window),
+            threads: at(&domain.threads_by_class, index).unwrap_or(1.0),
+            holds_group: at(&domain.class_load, index).unwrap_or_default(),
+            waits_for_load: at(&domain.class_waits, index).unwrap_or_default(),
+            in_key_order: service.fifo_by_key.unwrap_or_default(),
+            stream: service.stream.unwrap_or_default(),
+            only_kinds: only_kinds.map(|places| places.into_iter().map(KindId).collect()),
+            only_zones: only_zones.map(|places| places.into_iter().map(ZoneId).collect()),
+        }
+    }
+
+    /// The settings as the decision module takes them.
+    pub fn settings(&self) -> Settings {
+        let domain = self.domain.clone().unwrap_or_default();
+        let rules = self.rules.clone().unwrap_or_default();
+        let limits = self.limits.clone().unwrap_or_default();
+        let telemetry = self.telemetry.clone().unwrap_or_default();
+        let services = list(&self.services).iter().enumerate();
+        let classes = services.map(|(index, service)| self.class(index, service, &domain));
+        let tenants = list(&self.tenants).iter().map(|tenant| Tenant {
+            name: tenant.name.clone(),
+            share: tenant.portion.unwrap_or_default(),
+            per_second: tenant.allowance_per_s.unwrap_or_default(),
+        });
+        let kinds = (0..list(&self.kinds).len()).map(|index| Kind {
+            cores: at(&domain.size_cores, index).unwrap_or_default(),
+            memory_mb: at(&domain.size_mb, index).unwrap_or_default(),
+        });
+        let rationed = rules.extra_free.is_some() || rules.extra_per_request.is_some();
+        let advice = limits.retry_after.unwrap_or_default();
+        Settings {
+            gateways: self.balancers.unwrap_or_default(),
+            zone: self
+                .zone
+                .as_deref()
+                .and_then(|zone| place(list(&self.zones), zone))
+                .map(ZoneId),
+            classes: classes.collect(),
+            tenants: tenants.collect(),
+            kinds: kinds.collect(),
+            list_mode: match self.registry_mode.as_deref() {
+                Some("subscribe") => ListMode::Asked,
+                _ => ListMode::Pushed,
+            },
+            reports: match telemetry.how.as_deref() {
+                Some("piggyback") => Reports::InAnswers,
+                Some("pull") => Reports::InProbes,
+                _ => Reports::None,
+            },
+            drain_grace: time(rules.drain_grace),
+            start_capacity: rules.start_capacity.unwrap_or_default(),
+            warm_after: time(rules.warm_after),
+            fall_multiple: rules.fall_multiple.unwrap_or_default(),
+            overload_for: time(rules.overload_for),
+            key_rest: time(rules.key_quiet),
+            attempt_budget: rationed.then_some(AttemptBudget {
+                window: time(rules.look_back),
+                free: rules.extra_free.unwrap_or_default(),
+                per_request: rules.extra_per_request.unwrap_or_default(),
+            }),
+            max_attempts: limits.max_attempts.unwrap_or_default(),
+            may_cancel: limits.cancel.unwrap_or_default(),
+            second_copies: limits.second_copies.unwrap_or_default(),
+            may_probe: limits.probes.unwrap_or_default(),
+            takes_grants: domain.takes_grants.unwrap_or_default(),
+            takes_priorities: domain.priorities.unwrap_or_default(),
+            memory_line: domain.on_shortage.as_deref() == Some("wait"),
+            max_grant_share: domain.max_grant_share.unwrap_or_default(),
+            note_every: time(domain.progress),
+            max_retry_after: time(limits.max_retry_after.filter(|_| advice)),
+            answer_slack: time(rules.answer_slack),
+            tick: time(self.tick),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn absent_keys_have_their_defaults_and_unknown_ones_are_skipped() {
+        let text = r#"{"unheard_of": [1, {"deep": null}], "zones": ["a", "b"], "zone": "b",
+            "services": [{"name": "load"}], "limits": {"max_retry_after": 500}}"#;
+        let facts: Facts = miniserde::json::from_str(text).expect("decodes");
+        let settings = facts.settings();
+        assert_eq!(settings.zone, Some(ZoneId(1)));
+        assert_eq!(settings.classes[0].effect, Effect::Once);
+        // Advice counts only where clients are given any.
+        assert_eq!(settings.max_retry_after, Micros(0));
+        assert_eq!(facts.connections().connect_timeout, Micros(250_000));
+        assert_eq!(facts.names().class("load"), Some(ClassId(0)));
+    }
+}
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -2,12 +2,13 @@
 
 mod wire;
 
-use harrierspoke::{Action, Event, Gateway, Micros};
+use sedgebeam_core::{Event, Gateway, Micros};
+use sedgebeam_settings::{Names, micros};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use wire::{AnnounceKind, Batch, Message, Names, Order, Reply, Row, order};
+use wire::{AnnounceKind, Batch, Message, Reply, Row};
 
 /// An instance: its gateway, its names, and the events of this batch it has not handled yet.
 struct Instance {
@@ -23,37 +24,28 @@
 }
 
 impl Host {
-    fn reply(&mut self, line: &str) -> Result<Reply, String> {
-        let batch: Batch = serde_json::from_str(line).map_err(|error| error.to_string())?;
-        let turn = batch.turn;
-        let orders = self
-            .play(batch)
-            .map_err(|error| format!("batch {turn}: {error}"))?;
-        Ok(Reply { turn, orders })
-    }
-
-    fn play(&mut self, batch: Batch) -> Result<Vec<Order>, String> {
-        let now = wire::micros(batch.ts);
+    fn reply(&mut self, line: &str) -> Result<String, String> {
+        let batch = Batch::decode(line)?;
+        let (now, mut reply) = (micros(batch.ts), Reply::new(batch.turn));
         for message in batch.msgs {
-            self.take(message)?;
+            self.take(message)
+                .map_err(|error| format!("batch {}: {error}", batch.turn))?;
         }
-        let mut orders = Vec::new();
         for (i, instance) in &mut self.instances {
             if !instance.pending.is_empty() {
-                orders.extend(instance.act(*i, now));
+                instance.act(*i, now, &mut reply);
             }
         }
-        Ok(orders)
+        Ok(reply.line())
     }
 
     fn take(&mut self, message: Message) -> Result<(), String> {
-        let instance = message.instance().and_then(|i| self.instances.get_mut(&i));
-        match (message, instance) {
-            (Message::Ledger { buffer, rows_in }, _) => {
+        match message {
+            Message::Ledger { buffer, rows_in } => {
                 self.lists.insert(buffer, rows_in);
             }
             // A restart within a batch drops whatever was pending with the old state.
-            (Message::Spawn { i, rng_seed, facts }, _) => {
+            Message::Spawn { i, rng_seed, facts } => {
                 let gateway = Gateway::new(facts.settings(), rng_seed);
                 self.instances.insert(
                     i,
@@ -64,37 +56,45 @@
                     },
                 );
             }
-            (Message::Down { i }, _) => {
+            Message::Down { i } => {
                 self.instances.remove(&i);
             }
-            (Message::Announce { kind, buffer, .. }, Some(instance)) => {
-                let rows = match (kind, self.lists.get(&buffer)) {
-                    (AnnounceKind::Error, _) => &[][..],
-                    (_, Some(rows)) => rows,
-                    (_, None) => return Err(format!("announce: unknown list number {buffer}")),
-                };
-                instance.pending.push(instance.names.list(kind, rows));
+            Message::Announce { i, kind, buffer } => self.announce(i, kind, buffer)?,
+            Message::Event { i, event } => {
+                if let Some(instance) = self.instances.get_mut(&i) {
+                    let event = wire::event(&instance.names, event)?;
+                    instance.pending.extend(event);
+                }
             }
-            (message, Some(instance)) => instance.pending.extend(instance.names.event(message)?),
-            (_, None) => {}
+            Message::Unknown => {}
         }
         Ok(())
     }
+
+    fn announce(&mut self, i: u64, kind: AnnounceKind, buffer: u64) -> Result<(), String> {
+        let Some(instance) = self.instances.get_mut(&i) else {
+            return Ok(());
+        };
+        let rows = match (kind, self.lists.get(&buffer)) {
+            (AnnounceKind::Error, _) => &[][..],
+            (_, Some(rows)) => rows,
+            (_, None) => return Err(format!("announce: unknown list number {buffer}")),
+        };
+        let event = wire::list(&instance.names, kind, rows);
+        instance.pending.push(event);
+        Ok(())
+    }
 }
 
 impl Instance {
-    fn act(&mut self, i: u64, now: Micros) -> Vec<Order> {
+    fn act(&mut self, i: u64, now: Micros, reply: &mut Reply) {
         let events = std::mem::take(&mut self.pending);
         let gateway = &mut self.gateway;
         match catch_unwind(AssertUnwindSafe(|| gateway.handle(now, events))) {
             Ok(actions) => actions
                 .into_iter()
-                .map(|action: Action| order(i, action))
-                .collect(),
-            Err(_) => vec![Order::Exception {
-                i,
-                msg: "the decision module panicked".to_string(),
-            }],
+                .for_each(|action| reply.order(i, action)),
+            Err(_) => reply.exception(i, "the decision module panicked"),
         }
     }
 }
@@ -107,14 +107,13 @@
             .map_err(|error| error.to_string())
             .and_then(|line| host.reply(&line));
         let sent = reply.and_then(|reply| {
-            serde_json::to_writer(&mut output, &reply).map_err(|error| error.to_string())?;
             output
-                .write_all(b"\n")
+                .write_all(reply.as_bytes())
                 .and_then(|()| output.flush())
                 .map_err(|error| error.to_string())
         });
         if let Err(error) = sent {
-            eprintln!("harrierspoke-simhost: {error}");
+            eprintln!("sedgebeam-adapter: {error}");
             return ExitCode::FAILURE;
         }
     }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -1,28 +1,70 @@
 //! The messages of the wire, and what they mean to a gateway.
 
-use harrierspoke::{
-    Action, AttemptBudget, AttemptNo, CellId, Class, ClassId, Effect, Ended, Engine, EngineId,
-    EngineState, Event, Group, GroupId, Key, Kind, KindId, ListKind, ListMode, Load, Micros, Note,
-    Outcome, Query, Reports, RequestId, Settings, Tenant, TenantId, TimerId, ZoneId,
+use miniserde::json::Value;
+use miniserde::{Deserialize, json};
+use sedgebeam_core::{
+    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, GroupId, Key, ListKind,
+    Load, Micros, Note, Outcome, Query, RequestId, TimerId,
 };
-use serde::{Deserialize, Serialize};
+use sedgebeam_settings::{Facts, Names, micros, millis};
 use std::collections::BTreeMap;
+use std::fmt::Write;
 
 #[derive(Deserialize)]
+struct RawBatch {
+    ts: f64,
+    turn: u64,
+    msgs: Vec<Raw>,
+}
+
+/// Any message as it stands in a batch; what it must hold depends on its `cmd`.
+#[derive(Deserialize)]
+struct Raw {
+    cmd: Option<String>,
+    i: Option<u64>,
+    rng_seed: Option<u64>,
+    facts: Option<Box<Facts>>,
+    buffer: Option<u64>,
+    rows_in: Option<Vec<RawRow>>,
+    kind: Option<String>,
+    handle: Option<u64>,
+    req: Option<String>,
+    seq_no: Option<u32>,
+    what: Option<u8>,
+    amount: Option<f64>,
+    outcome: Option<String>,
+    executor: Option<u64>,
+    load: Option<BTreeMap<String, f64>>,
+    bill: Option<u64>,
+    wait_time: Option<f64>,
+    finished: Option<bool>,
+    band: Option<String>,
+    account: Option<Value>,
+    order_key: Option<String>,
+    remaining: Option<f64>,
+    estimate: Option<f64>,
+    need_mb: Option<f64>,
+    tables: Option<u64>,
+    opts: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct RawRow {
+    executor: u64,
+    az: Option<String>,
+    #[serde(rename = "type")]
+    kind: Option<String>,
+    bay: Option<u64>,
+    status: String,
+    started_at: Option<f64>,
+}
+
 pub struct Batch {
     pub ts: f64,
     pub turn: u64,
     pub msgs: Vec<Message>,
 }
 
-#[derive(Serialize)]
-pub struct Reply {
-    pub turn: u64,
-    pub orders: Vec<Order>,
-}
-
-#[derive(Deserialize)]
-#[serde(tag = "cmd", rename_all = "snake_case")]
 pub enum Message {
     Spawn {
         i: u64,
@@ -36,51 +78,31 @@
     Announce {
         i: u64,
         kind: AnnounceKind,
-        #[serde(default)]
         buffer: u64,
     },
-    WorkItem(WorkItem),
-    Due {
-        i: u64,
-        handle: u64,
-    },
-    Interim {
-        i: u64,
-        req: String,
-        seq_no: u32,
-        what: u8,
-        #[serde(default)]
-        amount: f64,
-    },
-    First {
-        i: u64,
-        req: String,
-        seq_no: u32,
-    },
-    Inbox {
-        i: u64,
-    },
-    StatusBack {
-        i: u64,
-        outcome: String,
-        executor: u64,
-        #[serde(default)]
-        load: Option<BTreeMap<String, f64>>,
-    },
-    ClientLeft {
+    Down {
         i: u64,
-        req: String,
     },
-    Completed(Completed),
-    Down {
+    /// What goes on to the gateway of an instance.
+    Event {
         i: u64,
+        event: Tell,
     },
-    /// A kind that this adapter does not know.
-    #[serde(other)]
+    /// A kind that this adapter does not know, or that means nothing to a gateway.
     Unknown,
 }
 
-#[derive(Clone, Copy, Deserialize, PartialEq, Eq)]
+pub enum Tell {
+    WorkItem(WorkItem),
+    Due(u64),
+    Interim(String, u32, u8, f64),
+    First(String, u32),
+    StatusBack(String, u64, Option<Load>),
+    ClientLeft(String),
+    Completed(Completed),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub enum AnnounceKind {
     Partial,
     Complete,
@@ -88,243 +110,156 @@
     Error,
 }
 
-#[derive(Clone, Deserialize)]
 pub struct Row {
     executor: u64,
-    #[serde(default)]
     az: String,
-    #[serde(rename = "type", default)]
     kind: String,
-    #[serde(default)]
     bay: u64,
     status: String,
-    #[serde(default)]
     started_at: f64,
 }
 
-#[derive(Deserialize)]
 pub struct WorkItem {
-    pub i: u64,
     req: String,
     band: String,
-    #[serde(default)]
-    account: Option<serde_json::Value>,
-    #[serde(default)]
+    account: Option<String>,
     order_key: Option<String>,
     remaining: f64,
-    #[serde(default)]
     estimate: f64,
-    #[serde(default)]
     need_mb: f64,
-    #[serde(default)]
     tables: u64,
-    #[serde(default)]
     opts: u64,
 }
 
-#[derive(Deserialize)]
 pub struct Completed {
-    pub i: u64,
     req: String,
     outcome: String,
-    #[serde(default)]
     seq_no: u32,
-    #[serde(default)]
     bill: u64,
-    #[serde(default)]
     wait_time: f64,
-    #[serde(default)]
     finished: bool,
     executor: u64,
-    #[serde(default)]
-    load: Option<BTreeMap<String, f64>>,
-}
-
-#[derive(Deserialize)]
-pub struct Facts {
-    #[serde(default)]
-    balancers: u32,
-    #[serde(default)]
-    services: Vec<Service>,
-    #[serde(default)]
-    tenants: Vec<Account>,
-    #[serde(default)]
-    kinds: Vec<String>,
-    #[serde(default)]
-    zones: Vec<String>,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    registry_mode: String,
-    #[serde(default)]
-    domain: Domain,
-    #[serde(default)]
-    limits: Limits,
-    #[serde(default)]
-    rules: Rules,
-    #[serde(default)]
-    telemetry: Telemetry,
-    #[serde(default)]
-    tick: f64,
-}
-
-#[derive(Deserialize)]
-struct Service {
-    name: String,
-    #[serde(default)]
-    worth: f64,
-    #[serde(default)]
-    late_share: f64,
-    #[serde(default)]
-    on_time: f64,
-    #[serde(default)]
-    aim_stretch: f64,
-    #[serde(default)]
-    give_up: f64,
-    #[serde(default)]
-    effect: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    window: f64,
-    #[serde(default)]
-    fifo_by_key: bool,
-    #[serde(default)]
-    stream: bool,
-    #[serde(default)]
-    kinds_allowed: Option<Vec<String>>,
-    #[serde(default)]
-    confined_to: Option<Vec<String>>,
-}
-
-#[derive(Deserialize)]
-struct Account {
-    name: String,
-    #[serde(default)]
-    portion: f64,
-    #[serde(default)]
-    allowance_per_s: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Domain {
-    class_load: Vec<bool>,
-    class_waits: Vec<bool>,
-    threads_by_class: Vec<f64>,
-    size_cores: Vec<f64>,
-    size_mb: Vec<f64>,
-    max_grant_share: f64,
-    takes_grants: bool,
-    on_shortage: String,
-    priorities: bool,
-    progress: f64,
-    tells_cost: bool,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Limits {
-    cancel: bool,
-    max_attempts: u32,
-    max_retry_after: f64,
-    retry_after: bool,
-    probes: bool,
-    second_copies: bool,
+    load: Option<Load>,
 }
 
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Rules {
-    answer_slack: f64,
-    drain_grace: f64,
-    fall_multiple: f64,
-    overload_for: f64,
-    start_capacity: f64,
-    warm_after: f64,
-    key_quiet: f64,
-    extra_free: Option<f64>,
-    extra_per_request: Option<f64>,
-    look_back: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Telemetry {
-    how: String,
+impl Batch {
+    pub fn decode(line: &str) -> Result<Batch, String> {
+        let raw: RawBatch =
+            json::from_str(line).map_err(|_| "a line is not a batch of messages".to_string())?;
+        let msgs = raw.msgs.into_iter().map(Raw::message);
+        Ok(Batch {
+            ts: raw.ts,
+            turn: raw.turn,
+            msgs: msgs.collect::<Result<_, _>>()?,
+        })
+    }
 }
 
-#[derive(Serialize)]
-#[serde(tag = "cmd", rename_all = "snake_case")]
-pub enum Order {
-    Route {
-        i: u64,
-        req: String,
-        cap: f64,
-        executor: u64,
-    },
-    SetAlarm {
-        i: u64,
-        handle: u64,
-        due_at: f64,
-    },
-    NotNow {
-        i: u64,
-        req: String,
-        come_back: f64,
-    },
-    FinishError {
-        i: u64,
-        req: String,
-    },
-    AbortAttempt {
-        i: u64,
-        req: String,
-        seq_no: u32,
-    },
-    LimitsFor {
-        i: u64,
-        req: String,
-        mem_mb: f64,
-        prio: u8,
-    },
-    AskLoad {
-        i: u64,
-        executor: u64,
-    },
-    Follow {
-        i: u64,
-        enable: bool,
-    },
-    WriteLog {
-        i: u64,
-        msg: String,
-    },
-    Exception {
-        i: u64,
-        msg: String,
-    },
+/// A field that a message of this kind must have.
+fn must<T>(cmd: &str, name: &str, value: Option<T>) -> Result<T, String> {
+    value.ok_or_else(|| format!("{cmd}: missing field `{name}`"))
 }
 
-/// What an instance needs to translate its messages: the names behind the numbers.
-pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    kinds: Vec<String>,
-    zones: Vec<String>,
-    tells_cost: bool,
-}
+impl Raw {
+    fn message(self) -> Result<Message, String> {
+        let cmd = must("message", "cmd", self.cmd.clone())?;
+        if cmd == "ledger" {
+            let rows = must(&cmd, "rows_in", self.rows_in)?;
+            return Ok(Message::Ledger {
+                buffer: must(&cmd, "buffer", self.buffer)?,
+                rows_in: rows.into_iter().map(Row::from).collect(),
+            });
+        }
+        let Some(i) = self.i else {
+            return Ok(Message::Unknown);
+        };
+        Ok(match cmd.as_str() {
+            "spawn" => Message::Spawn {
+                i,
+                rng_seed: must(&cmd, "rng_seed", self.rng_seed)?,
+                facts: must(&cmd, "facts", self.facts)?,
+            },
+            "announce" => Message::Announce {
+                i,
+                kind: announce_kind(&must(&cmd, "kind", self.kind)?)?,
+                buffer: self.buffer.unwrap_or_default(),
+            },
+            "down" => Message::Down { i },
+            _ => match self.tell(&cmd)? {
+                Some(event) => Message::Event { i, event },
+                None => Message::Unknown,
+            },
+        })
+    }
 
-fn place(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|known| known == name)
+    fn tell(self, cmd: &str) -> Result<Option<Tell>, String> {
+        let req = self.req;
+        let named = |req: Option<String>| must(cmd, "req", req);
+        Ok(Some(match cmd {
+            "work_item" => Tell::WorkItem(WorkItem {
+                req: named(req)?,
+                band: must(cmd, "band", self.band)?,
+                account: match self.account {
+                    Some(Value::String(name)) => Some(name),
+                    _ => None,
+                },
+                order_key: self.order_key,
+                remaining: must(cmd, "remaining", self.remaining)?,
+                estimate: self.estimate.unwrap_or_default(),
+                need_mb: self.need_mb.unwrap_or_default(),
+                tables: self.tables.unwrap_or_default(),
+                opts: self.opts.unwrap_or_default(),
+            }),
+            "due" => Tell::Due(must(cmd, "handle", self.handle)?),
+            "interim" => Tell::Interim(
+                named(req)?,
+                must(cmd, "seq_no", self.seq_no)?,
+                must(cmd, "what", self.what)?,
+                self.amount.unwrap_or_default(),
+            ),
+            "first" => Tell::First(named(req)?, must(cmd, "seq_no", self.seq_no)?),
+            "status_back" => Tell::StatusBack(
+                must(cmd, "outcome", self.outcome)?,
+                must(cmd, "executor", self.executor)?,
+                load(self.load),
+            ),
+            "client_left" => Tell::ClientLeft(named(req)?),
+            "completed" => Tell::Completed(Completed {
+                req: named(req)?,
+                outcome: must(cmd, "outcome", self.outcome)?,
+                seq_no: self.seq_no.unwrap_or_default(),
+                bill: self.bill.unwrap_or_default(),
+                wait_time: self.wait_time.unwrap_or_default(),
+                finished: self.finished.unwrap_or_default(),
+                executor: must(cmd, "executor", self.executor)?,
+                load: load(self.load),
+            }),
+            _ => return Ok(None),
+        }))
+    }
 }
 
-pub fn micros(millis: f64) -> Micros {
-    Micros((millis * 1000.0).round().max(0.0) as u64)
+impl From<RawRow> for Row {
+    fn from(raw: RawRow) -> Row {
+        Row {
+            executor: raw.executor,
+            az: raw.az.unwrap_or_default(),
+            kind: raw.kind.unwrap_or_default(),
+            bay: raw.bay.unwrap_or_default(),
+            status: raw.status,
+            started_at: raw.started_at.unwrap_or_default(),
+        }
+    }
 }
 
-fn millis(micros: Micros) -> f64 {
-    micros.0 as f64 / 1000.0
+fn announce_kind(text: &str) -> Result<AnnounceKind, String> {
+    Ok(match text {
+        "Partial" => AnnounceKind::Partial,
+        "Complete" => AnnounceKind::Complete,
+        "Persisted" => AnnounceKind::Persisted,
+        "Error" => AnnounceKind::Error,
+        other => return Err(format!("announce: unknown kind {other:?}")),
+    })
 }
 
 fn request(text: &str) -> Result<RequestId, String> {
@@ -333,10 +268,6 @@
         .map_err(|_| format!("request id {text:?} is not hexadecimal"))
 }
 
-fn hex(request: RequestId) -> String {
-    format!("{:016x}", request.0)
-}
-
 /// Numbers a key (FNV-1a). Two keys with one number would only wait for each other.
 fn key(text: &str) -> Key {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
@@ -359,295 +290,201 @@
 
 fn load(values: Option<BTreeMap<String, f64>>) -> Option<Load> {
     let values = values?;
-    let value = |name| values.get(name).copied();
-    Some(Load {
-        active: value("active"),
-        waiting: value("waiting"),
-        busy: value("cpu"),
-        granted: value("x0"),
-    })
+    let named = values.iter().map(|(name, value)| (name.as_str(), *value));
+    Some(sedgebeam_settings::load(named))
 }
 
-impl Facts {
-    pub fn names(&self) -> Names {
-        Names {
-            classes: self
-                .services
-                .iter()
-                .map(|service| service.name.clone())
-                .collect(),
-            tenants: self
-                .tenants
-                .iter()
-                .map(|tenant| tenant.name.clone())
-                .collect(),
-            kinds: self.kinds.clone(),
-            zones: self.zones.clone(),
-            tells_cost: self.domain.tells_cost,
-        }
+/// The list as the gateway takes it.
+pub fn list(names: &Names, kind: AnnounceKind, rows: &[Row]) -> Event {
+    let engines = rows.iter().map(|row| Engine {
+        id: EngineId(row.executor),
+        zone: names.zone(&row.az),
+        kind: names.kind(&row.kind),
+        cell: CellId(row.bay),
+        state: match row.status.as_str() {
+            "U" => EngineState::Ready,
+            "L" => EngineState::Draining,
+            _ => EngineState::Gone,
+        },
+        started_at: micros(row.started_at),
+    });
+    let kind = match kind {
+        AnnounceKind::Partial => ListKind::Changes,
+        AnnounceKind::Persisted => ListKind::Saved,
+        AnnounceKind::Complete => ListKind::Complete,
+        AnnounceKind::Error => return Event::ListFailed,
+    };
+    Event::List {
+        kind,
+        engines: engines.collect(),
     }
+}
 
-    pub fn settings(&self) -> Settings {
-        let domain = &self.domain;
-        let at = |flags: &[bool], index: usize| flags.get(index).copied().unwrap_or(false);
-        let numbers = |known: &[String], names: &Option<Vec<String>>| {
-            names.as_ref().map(|names| {
-                names
-                    .iter()
-                    .filter_map(|name| place(known, name))
-                    .collect::<Vec<_>>()
-            })
-        };
-        let classes = self
-            .services
-            .iter()
-            .enumerate()
-            .map(|(index, service)| Class {
-                name: service.name.clone(),
-                worth: service.worth,
-                late_share: service.late_share,
-                on_time: micros(service.on_time),
-                aim_stretch: service.aim_stretch,
-                give_up: micros(service.give_up),
-                effect: match (service.effect.as_str(), service.group.as_str()) {
-                    ("repeatable", _) => Effect::Repeatable,
-                    ("by_key", "zone") => Effect::Keyed(Group::Zone),
-                    ("by_key", "cell") => Effect::Keyed(Group::Cell),
-                    ("by_key", _) => Effect::Keyed(Group::All),
-                    _ => Effect::Once,
-                },
-                window: micros(service.window),
-                threads: domain.threads_by_class.get(index).copied().unwrap_or(1.0),
-                holds_group: at(&domain.class_load, index),
-                waits_for_load: at(&domain.class_waits, index),
-                in_key_order: service.fifo_by_key,
-                stream: service.stream,
-                only_kinds: numbers(&self.kinds, &service.kinds_allowed)
-                    .map(|places| places.into_iter().map(KindId).collect()),
-                only_zones: numbers(&self.zones, &service.confined_to)
-                    .map(|places| places.into_iter().map(ZoneId).collect()),
-            });
-        let tenants = self.tenants.iter().map(|tenant| Tenant {
-            name: tenant.name.clone(),
-            share: tenant.portion,
-            per_second: tenant.allowance_per_s,
-        });
-        let kinds = (0..self.kinds.len()).map(|index| Kind {
-            cores: domain.size_cores.get(index).copied().unwrap_or(0.0),
-            memory_mb: domain.size_mb.get(index).copied().unwrap_or(0.0),
-        });
-        let rules = &self.rules;
-        let rationed = rules.extra_free.is_some() || rules.extra_per_request.is_some();
-        Settings {
-            gateways: self.balancers,
-            zone: place(&self.zones, &self.zone).map(ZoneId),
-            classes: classes.collect(),
-            tenants: tenants.collect(),
-            kinds: kinds.collect(),
-            list_mode: if self.registry_mode == "subscribe" {
-                ListMode::Asked
-            } else {
-                ListMode::Pushed
-            },
-            reports: match self.telemetry.how.as_str() {
-                "piggyback" => Reports::InAnswers,
-                "pull" => Reports::InProbes,
-                _ => Reports::None,
+impl WorkItem {
+    fn query(self, names: &Names) -> Result<Query, String> {
+        let class = names.class(&self.band);
+        Ok(Query {
+            id: request(&self.req)?,
+            class: class.ok_or_else(|| format!("unknown class {:?}", self.band))?,
+            tenant: self.account.and_then(|account| names.tenant(&account)),
+            key: self.order_key.as_deref().map(key),
+            remaining: micros(self.remaining),
+            work: match self.opts & 1 {
+                1 => micros(self.estimate),
+                _ => Micros(0),
             },
-            drain_grace: micros(rules.drain_grace),
-            start_capacity: rules.start_capacity,
-            warm_after: micros(rules.warm_after),
-            fall_multiple: rules.fall_multiple,
-            overload_for: micros(rules.overload_for),
-            key_rest: micros(rules.key_quiet),
-            attempt_budget: rationed.then_some(AttemptBudget {
-                window: micros(rules.look_back),
-                free: rules.extra_free.unwrap_or(0.0),
-                per_request: rules.extra_per_request.unwrap_or(0.0),
-            }),
-            max_attempts: self.limits.max_attempts,
-            may_cancel: self.limits.cancel,
-            second_copies: self.limits.second_copies,
-            may_probe: self.limits.probes,
-            takes_grants: domain.takes_grants,
-            takes_priorities: domain.priorities,
-            memory_line: domain.on_shortage == "wait",
-            max_grant_share: domain.max_grant_share,
-            note_every: micros(domain.progress),
-            max_retry_after: if self.limits.retry_after {
-                micros(self.limits.max_retry_after)
-            } else {
-                Micros(0)
-            },
-            answer_slack: micros(rules.answer_slack),
-            tick: micros(self.tick),
-        }
+            memory_mb: self.need_mb,
+            group: GroupId(self.tables),
+        })
     }
 }
 
-impl Names {
-    pub fn list(&self, kind: AnnounceKind, rows: &[Row]) -> Event {
-        let engines = rows.iter().map(|row| Engine {
-            id: EngineId(row.executor),
-            zone: place(&self.zones, &row.az).map(ZoneId),
-            kind: place(&self.kinds, &row.kind).map(KindId),
-            cell: CellId(row.bay),
-            state: match row.status.as_str() {
-                "U" => EngineState::Ready,
-                "L" => EngineState::Draining,
-                _ => EngineState::Gone,
-            },
-            started_at: micros(row.started_at),
-        });
-        let kind = match kind {
-            AnnounceKind::Partial => ListKind::Changes,
-            AnnounceKind::Persisted => ListKind::Saved,
-            AnnounceKind::Complete => ListKind::Complete,
-            AnnounceKind::Error => return Event::ListFailed,
-        };
-        Event::List {
-            kind,
-            engines: engines.collect(),
-        }
+impl Completed {
+    fn ended(self) -> Result<Ended, String> {
+        let how = outcome(&self.outcome)?;
+        let told = how == Outcome::Ok && self.bill > 0;
+        Ok(Ended {
+            request: request(&self.req)?,
+            attempt: AttemptNo(self.seq_no),
+            engine: EngineId(self.executor),
+            outcome: how,
+            took: micros(self.wait_time),
+            finished: self.finished,
+            work: told.then_some(Micros::from_millis(self.bill / 4096)),
+            load: self.load,
+        })
     }
+}
 
-    /// The instance that an event is for, and the event; `None` where it means nothing to a gateway.
-    pub fn event(&self, message: Message) -> Result<Option<Event>, String> {
-        Ok(Some(match message {
-            Message::WorkItem(item) => {
-                let class = place(&self.classes, &item.band);
-                Event::Request(Query {
-                    id: request(&item.req)?,
-                    class: ClassId(class.ok_or_else(|| format!("unknown class {:?}", item.band))?),
-                    tenant: item
-                        .account
-                        .as_ref()
-                        .and_then(|account| place(&self.tenants, account.as_str()?))
-                        .map(TenantId),
-                    key: item.order_key.as_deref().map(key),
-                    remaining: micros(item.remaining),
-                    work: if item.opts & 1 == 1 {
-                        micros(item.estimate)
-                    } else {
-                        Micros(0)
-                    },
-                    memory_mb: item.need_mb,
-                    group: GroupId(item.tables),
-                })
-            }
-            Message::Due { handle, .. } => Event::Timer(TimerId(handle)),
-            Message::Interim {
-                req,
-                seq_no,
-                what,
-                amount,
-                ..
-            } => {
-                let note = match what {
-                    1 => Note::Progress(amount),
-                    2 => Note::Spills(amount),
-                    3 if amount >= 2.0 => Note::WaitsForLoad,
-                    3 => Note::WaitsForMemory,
-                    _ => return Ok(None),
-                };
-                Event::Note(request(&req)?, AttemptNo(seq_no), note)
-            }
-            Message::First { req, seq_no, .. } => Event::Started(request(&req)?, AttemptNo(seq_no)),
-            Message::StatusBack {
-                outcome: how,
-                executor,
-                load: values,
-                ..
-            } => Event::Probed(EngineId(executor), outcome(&how)?, load(values)),
-            Message::ClientLeft { req, .. } => Event::ClientLeft(request(&req)?),
-            Message::Completed(end) => {
-                let how = outcome(&end.outcome)?;
-                let told = self.tells_cost && how == Outcome::Ok && end.bill > 0;
-                Event::Ended(Ended {
-                    request: request(&end.req)?,
-                    attempt: AttemptNo(end.seq_no),
-                    engine: EngineId(end.executor),
-                    outcome: how,
-                    took: micros(end.wait_time),
-                    finished: end.finished,
-                    work: told.then_some(Micros::from_millis(end.bill / 4096)),
-                    load: load(end.load),
-                })
-            }
-            _ => return Ok(None),
-        }))
-    }
+/// What is told of an attempt, as the gateway takes it; `None` where it means nothing to it.
+fn note(what: u8, amount: f64) -> Option<Note> {
+    Some(match what {
+        1 => Note::Progress(amount),
+        2 => Note::Spills(amount),
+        3 if amount >= 2.0 => Note::WaitsForLoad,
+        3 => Note::WaitsForMemory,
+        _ => return None,
+    })
 }
 
-impl Message {
-    /// The instance that the message is for.
-    pub fn instance(&self) -> Option<u64> {
-        match self {
-            Message::Ledger { .. } | Message::Unknown => None,
-            Message::WorkItem(WorkItem { i, .. })
-            | Message::Completed(Completed { i, .. })
-            | Message::Spawn { i, .. }
-            | Message::Announce { i, .. }
-            | Message::Due { i, .. }
-            | Message::Interim { i, .. }
-            | Message::First { i, .. }
-            | Message::Inbox { i }
-            | Message::StatusBack { i, .. }
-            | Message::ClientLeft { i, .. }
-            | Message::Down { i } => Some(*i),
+/// The event of a gateway that a message stands for.
+pub fn event(names: &Names, told: Tell) -> Result<Option<Event>, String> {
+    Ok(Some(match told {
+        Tell::WorkItem(item) => Event::Request(item.query(names)?),
+        Tell::Due(handle) => Event::Timer(TimerId(handle)),
+        Tell::Interim(req, seq_no, what, amount) => match note(what, amount) {
+            Some(note) => Event::Note(request(&req)?, AttemptNo(seq_no), note),
+            None => return Ok(None),
+        },
+        Tell::First(req, seq_no) => Event::Started(request(&req)?, AttemptNo(seq_no)),
+        Tell::StatusBack(how, executor, load) => {
+            Event::Probed(EngineId(executor), outcome(&how)?, load)
         }
-    }
+        Tell::ClientLeft(req) => Event::ClientLeft(request(&req)?),
+        Tell::Completed(end) => {
+            let mut ended = end.ended()?;
+            ended.work = ended.work.filter(|_| names.tells_cost);
+            Event::Ended(ended)
+        }
+    }))
 }
 
-pub fn order(i: u64, action: Action) -> Order {
-    match action {
-        Action::Terms {
-            request,
-            memory_mb,
-            priority,
-        } => Order::LimitsFor {
-            i,
-            req: hex(request),
-            mem_mb: memory_mb,
-            prio: priority,
-        },
-        Action::Send {
-            request,
-            engine,
-            timeout,
-        } => Order::Route {
-            i,
-            req: hex(request),
-            cap: millis(timeout),
-            executor: engine.0,
-        },
-        Action::Cancel { request, attempt } => Order::AbortAttempt {
-            i,
-            req: hex(request),
-            seq_no: attempt.0,
-        },
-        Action::Refuse {
-            request,
-            retry_after,
-        } => Order::NotNow {
-            i,
-            req: hex(request),
-            come_back: millis(retry_after),
-        },
-        Action::Fail { request } => Order::FinishError {
-            i,
-            req: hex(request),
-        },
-        Action::Timer { timer, at } => Order::SetAlarm {
-            i,
-            handle: timer.0,
-            due_at: millis(at),
-        },
-        Action::Probe { engine } => Order::AskLoad {
+/// A reply under way: its text grows order by order.
+pub struct Reply(String);
+
+impl Reply {
+    pub fn new(turn: u64) -> Reply {
+        Reply(format!("{{\"turn\":{turn},\"orders\":["))
+    }
+
+    /// The whole line.
+    pub fn line(mut self) -> String {
+        if self.0.ends_with(',') {
+            self.0.pop();
+        }
+        self.0.push_str("]}\n");
+        self.0
+    }
+
+    pub fn exception(&mut self, i: u64, msg: &str) {
+        self.push(
             i,
-            executor: engine.0,
-        },
-        Action::Follow => Order::Follow { i, enable: true },
-        Action::Log(msg) => Order::WriteLog { i, msg },
+            "exception",
+            format_args!("\"msg\":{}", json::to_string(msg)),
+        );
+    }
+
+    fn push(&mut self, i: u64, cmd: &str, fields: std::fmt::Arguments) {
+        // Writing to a string does not fail.
+        let _ = write!(self.0, "{{\"cmd\":\"{cmd}\",\"i\":{i},{fields}}},");
+    }
+
+    pub fn order(&mut self, i: u64, action: Action) {
+        match action {
+            Action::Terms {
+                request,
+                memory_mb,
+                priority,
+            } => self.push(
+                i,
+                "limits_for",
+                format_args!(
+                    r#""req":"{:016x}","mem_mb":{memory_mb:?},"prio":{priority}"#,
+                    request.0
+                ),
+            ),
+            Action::Send {
+                request,
+                engine,
+                timeout,
+            } => self.push(
+                i,
+                "route",
+                format_args!(
+                    r#""req":"{:016x}","cap":{:?},"executor":{}"#,
+                    request.0,
+                    millis(timeout),
+                    engine.0
+                ),
+            ),
+            Action::Cancel { request, attempt } => self.push(
+                i,
+                "abort_attempt",
+                format_args!(r#""req":"{:016x}","seq_no":{}"#, request.0, attempt.0),
+            ),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => self.push(
+                i,
+                "not_now",
+                format_args!(
+                    r#""req":"{:016x}","come_back":{:?}"#,
+                    request.0,
+                    millis(retry_after)
+                ),
+            ),
+            Action::Fail { request } => self.push(
+                i,
+                "finish_error",
+                format_args!(r#""req":"{:016x}""#, request.0),
+            ),
+            Action::Timer { timer, at } => self.push(
+                i,
+                "set_alarm",
+                format_args!(r#""handle":{},"due_at":{:?}"#, timer.0, millis(at)),
+            ),
+            Action::Probe { engine } => {
+                self.push(i, "ask_load", format_args!(r#""executor":{}"#, engine.0));
+            }
+            Action::Follow => self.push(i, "follow", format_args!(r#""enable":true"#)),
+            Action::Log(msg) => {
+                self.push(
+                    i,
+                    "write_log",
+                    format_args!("\"msg\":{}", json::to_string(&msg)),
+                );
+            }
+        }
     }
 }
--- a/simhost/tests/round_trip.rs
+++ b/simhost/tests/round_trip.rs
@@ -6,7 +6,7 @@
 
 /// Runs the adapter on these lines.
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_harrierspoke-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sedgebeam-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -36,7 +36,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     )*};
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
 //! Decisions of a gateway that keeps short and long queries apart on shared engines.
 //!
 //! [`Gateway`] is a state machine without I/O: it is told the time and what happened, and returns
-//! what to do, in order. See `docs/design.md` for the mechanism.
+//! what to do, in order. The mechanism is told at the head of `src/policy.rs`.
 //!
 //! ```
-//! use harrierspoke::*;
+//! use sedgebeam_core::*;
 //!
 //! let settings = Settings {
 //!     gateways: 1,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway under test: short calls for what happens, and a look at what it does.
 #![allow(dead_code)]
 
-use harrierspoke::*;
+use sedgebeam_core::*;
 
 pub const LIGHT: usize = 0;
 pub const HEAVY: usize = 1;
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use harrierspoke::*;
+use sedgebeam_core::*;
 
 /// Sends single queries and returns to which engines they went; each is answered at once.
 fn probe(bench: &mut Bench, from: u64, count: u64) -> Vec<u64> {
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use harrierspoke::*;
+use sedgebeam_core::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One small engine that says that it is pressed: its budget of two threads binds.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use harrierspoke::*;
+use sedgebeam_core::*;
 
 // 1. One final answer in time.
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use harrierspoke::*;
+use sedgebeam_core::*;
 
 /// Eight engines of 8 cores for 64 gateways: this one's part of all is two threads.
 fn crowd() -> Settings {
--- a/tests/storm.rs
+++ b/tests/storm.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use harrierspoke::*;
+use sedgebeam_core::*;
 use std::collections::BTreeMap;
 
 /// A small fixed generator (xorshift64*).
