Add the Flight SQL front and engines on the same core

Flight SQL clients get a ticket that is good once and redeem it with DoGet; refusals carry gRPC retry info, errors and cancel end a stream so that it cannot look whole. An engine listed as grpc:// is polled for progress and spoken to in Flight SQL.

--- /dev/null
+++ b/dispatcher/src/arrow.rs
@@ -0,0 +1,57 @@
+//! Results as Arrow record batches, on both sides of the core.
+
+use crate::engine::Page;
+use arrow_array::cast::AsArray;
+use arrow_array::{ArrayRef, RecordBatch, StringArray};
+use arrow_schema::{DataType, Field, Schema, SchemaRef};
+use bytes::{BufMut, Bytes, BytesMut};
+use std::sync::Arc;
+use tonic::Status;
+
+/// Columns of every result.
+pub const COLUMNS: usize = 3;
+
+/// The schema of every result: text columns.
+pub fn schema() -> SchemaRef {
+    let column = |number: usize| Field::new(format!("column{number}"), DataType::Utf8, true);
+    let columns: Vec<Field> = (1..=COLUMNS).map(column).collect();
+    Arc::new(Schema::new(columns))
+}
+
+/// A page as a record batch.
+pub fn batch(page: &Page) -> Result<RecordBatch, Status> {
+    let text = std::str::from_utf8(&page.rows)
+        .map_err(|_| Status::data_loss("a page that is not UTF-8"))?;
+    let mut columns: [Vec<Option<&str>>; COLUMNS] = Default::default();
+    for line in text.split_terminator('\n') {
+        let mut cells = line.splitn(COLUMNS, '\t');
+        columns
+            .iter_mut()
+            .for_each(|column| column.push(cells.next()));
+    }
+    let arrays = columns.map(|column| Arc::new(StringArray::from(column)) as ArrayRef);
+    RecordBatch::try_new(schema(), arrays.to_vec())
+        .map_err(|error| Status::internal(error.to_string()))
+}
+
+/// The rows of a record batch as the text of a page.
+pub fn rows(batch: &RecordBatch) -> Result<Bytes, Status> {
+    let text = |index: usize| {
+        let column = batch.columns().get(index);
+        let column = column.and_then(|column| column.as_string_opt::<i32>());
+        column.ok_or_else(|| Status::data_loss("a result that is not of three text columns"))
+    };
+    let columns = [text(0)?, text(1)?, text(2)?];
+    let mut rows = BytesMut::new();
+    for row in 0..batch.num_rows() {
+        for (place, column) in columns.iter().enumerate() {
+            let cell = column.value(row);
+            if cell.contains(['\t', '\n']) {
+                return Err(Status::data_loss("a cell that holds a tab or a line feed"));
+            }
+            rows.put_slice(cell.as_bytes());
+            rows.put_u8(if place + 1 < COLUMNS { b'\t' } else { b'\n' });
+        }
+    }
+    Ok(rows.freeze())
+}
--- /dev/null
+++ b/dispatcher/src/engine/flight.rs
@@ -0,0 +1,495 @@
+//! The actor of an engine that speaks Arrow Flight SQL.
+//!
+//! An attempt is polled with PollFlightInfo, which tells its progress, until the engine has it ready, or,
+//! where the engine does not poll, asked for with GetFlightInfo; then its ticket is redeemed with DoGet.
+//! That it never ran is believed only of an error that says so in [`NOT_RUN`].
+
+use super::{Attempt, End, More, Page, Probe, Report, Reports, ToEngine};
+use crate::arrow;
+use crate::clock::duration;
+use arrow_flight::decode::FlightRecordBatchStream;
+use arrow_flight::flight_service_client::FlightServiceClient;
+use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
+use arrow_flight::{Action, CancelFlightInfoRequest, FlightDescriptor, FlightInfo, Ticket};
+use futures::{StreamExt, TryStreamExt};
+use prost::Message;
+use sedgebeam_core::{AttemptNo, Load, Micros, Note, RequestId};
+use sedgebeam_settings::Connections;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Request, Status};
+
+/// Metadata of an error: what was asked never ran.
+pub const NOT_RUN: &str = "sedgebeam-not-run";
+/// Metadata of a result: the work that it took, in milliseconds.
+pub const WORK: &str = "sedgebeam-work";
+/// Actions of an engine beyond the standard ones: a new priority, and a load report.
+pub const RENICE: &str = "sedgebeam.renice";
+pub const STATS: &str = "sedgebeam.stats";
+
+/// Connections to one engine at the most.
+const MOST_LANES: usize = 24;
+/// Time between polls: short at first, as most queries are.
+const FIRST_POLL: Duration = Duration::from_millis(10);
+const LONGEST_POLL: Duration = Duration::from_millis(500);
+/// Pages that may be asked for at once: their reader asks for one at a time.
+const MAILBOX: usize = 4;
+const EVENTS: usize = 1024;
+/// The largest message of an engine.
+const MOST_MESSAGE: usize = 256 * 1024;
+
+type Client = FlightServiceClient<Channel>;
+
+/// A connection, and how many attempts it carries.
+struct Lane {
+    channel: Channel,
+    out: usize,
+    used: Instant,
+}
+
+struct Running {
+    number: AttemptNo,
+    lane: u64,
+    pages: mpsc::Sender<More>,
+    /// Dropped to give the attempt up.
+    kept: oneshot::Sender<()>,
+}
+
+enum Came {
+    Up(u64, Channel),
+    Over(RequestId, AttemptNo, u64),
+}
+
+struct Actor {
+    endpoint: String,
+    settings: Connections,
+    reports: Reports,
+    came: mpsc::Sender<Came>,
+    lanes: HashMap<u64, Lane>,
+    next_lane: u64,
+    running: HashMap<RequestId, Running>,
+}
+
+/// Runs until its mailbox is closed.
+pub async fn run(
+    endpoint: String,
+    settings: Connections,
+    mut mailbox: mpsc::Receiver<ToEngine>,
+    reports: Reports,
+) {
+    let (came, mut incoming) = mpsc::channel(EVENTS);
+    let mut actor = Actor {
+        endpoint,
+        settings,
+        reports,
+        came,
+        lanes: HashMap::new(),
+        next_lane: 0,
+        running: HashMap::new(),
+    };
+    loop {
+        tokio::select! {
+            message = mailbox.recv() => match message {
+                Some(message) => actor.take(message).await,
+                None => return,
+            },
+            Some(came) = incoming.recv() => actor.came(came),
+        }
+    }
+}
+
+impl Actor {
+    async fn take(&mut self, message: ToEngine) {
+        match message {
+            ToEngine::Send(attempt) => self.send(attempt).await,
+            ToEngine::Abort(id, number) | ToEngine::Done(id, number) => self.give_up(id, number),
+            ToEngine::Renice(id, number, rank) => self.renice(id, number, rank),
+            ToEngine::Probe => self.probe(),
+            ToEngine::More(more) => {
+                let running = self.running.get(&more.request);
+                let running = running.filter(|running| running.number == more.number);
+                // Without one, or with its mailbox full, the reader sees its channel end.
+                if let Some(running) = running
+                    && running.pages.try_send(more).is_err()
+                {
+                    log::debug!("{}: a page was asked for twice", self.endpoint);
+                }
+            }
+            // An attempt is written as soon as it is sent, or its connection refused in a moment.
+            ToEngine::NothingNew => self.close_idle(),
+        }
+    }
+
+    fn came(&mut self, came: Came) {
+        match came {
+            Came::Up(number, channel) => {
+                let lane = Lane {
+                    channel,
+                    out: 0,
+                    used: Instant::now(),
+                };
+                self.lanes.entry(number).or_insert(lane).out += 1;
+            }
+            Came::Over(id, number, lane) => {
+                if let Some(lane) = self.lanes.get_mut(&lane) {
+                    lane.out = lane.out.saturating_sub(1);
+                    lane.used = Instant::now();
+                }
+                if self
+                    .running
+                    .get(&id)
+                    .is_some_and(|running| running.number == number)
+                {
+                    self.running.remove(&id);
+                }
+                self.close_idle();
+            }
+        }
+    }
+
+    fn close_idle(&mut self) {
+        let idle = duration(self.settings.idle);
+        let now = Instant::now();
+        self.lanes
+            .retain(|_, lane| lane.out > 0 || now < lane.used + idle);
+    }
+
+    /// The fullest lane with room; without one, the number of a new one.
+    fn lane(&mut self) -> Option<(u64, Option<Channel>)> {
+        let most = self.settings.max_streams;
+        let fit = self.lanes.iter_mut().filter(|(_, lane)| lane.out < most);
+        if let Some((number, lane)) = fit.max_by_key(|(number, lane)| (lane.out, **number)) {
+            lane.out += 1;
+            return Some((*number, Some(lane.channel.clone())));
+        }
+        self.next_lane += 1;
+        (self.lanes.len() < MOST_LANES).then_some((self.next_lane, None))
+    }
+
+    async fn send(&mut self, attempt: Attempt) {
+        let (id, number) = (attempt.request, attempt.number);
+        let Some((lane, channel)) = self.lane() else {
+            self.reports.ended(id, number, End::ConnectFailed).await;
+            return;
+        };
+        let (pages, asked) = mpsc::channel(MAILBOX);
+        let (kept, dropped) = oneshot::channel();
+        self.running.insert(
+            id,
+            Running {
+                number,
+                lane,
+                pages,
+                kept,
+            },
+        );
+        let task = Task {
+            attempt,
+            endpoint: self.endpoint.clone(),
+            connect_timeout: duration(self.settings.connect_timeout),
+            reports: self.reports.clone(),
+        };
+        let (came, up) = (self.came.clone(), self.came.clone());
+        let (reports, over) = (self.reports.clone(), self.came.clone());
+        let run = async move {
+            tokio::select! {
+                biased;
+                _ = dropped => {}
+                () = task.run(lane, channel, up, asked) => {}
+            }
+            // An actor that is gone counts no more.
+            let _ = came.send(Came::Over(id, number, lane)).await;
+        };
+        crate::supervise::watch(format!("attempt at {}", self.endpoint), run, move || {
+            tokio::spawn(async move {
+                reports.ended(id, number, End::Reset).await;
+                let _ = over.send(Came::Over(id, number, lane)).await;
+            });
+        });
+    }
+
+    fn give_up(&mut self, id: RequestId, number: AttemptNo) {
+        if self
+            .running
+            .get(&id)
+            .is_some_and(|running| running.number == number)
+            && let Some(running) = self.running.remove(&id)
+        {
+            drop(running.kept);
+        }
+    }
+
+    fn renice(&mut self, id: RequestId, number: AttemptNo, rank: u8) {
+        let running = self
+            .running
+            .get(&id)
+            .filter(|running| running.number == number);
+        let lane = running.and_then(|running| self.lanes.get(&running.lane));
+        let Some(channel) = lane.map(|lane| lane.channel.clone()) else {
+            return;
+        };
+        let action = Action::new(RENICE, format!("{:016x} {rank}", id.0));
+        tokio::spawn(async move {
+            // An engine that knows no priorities says so; nothing depends on it.
+            let _ = client(channel).do_action(action).await;
+        });
+    }
+
+    fn probe(&mut self) {
+        let channel = self.lanes.values().next().map(|lane| lane.channel.clone());
+        let (endpoint, reports) = (self.endpoint.clone(), self.reports.clone());
+        let limit = duration(self.settings.connect_timeout);
+        tokio::spawn(async move {
+            let probe = match channel {
+                Some(channel) => stats(channel, limit).await,
+                None => match connect(&endpoint, limit).await {
+                    Ok(channel) => stats(channel, limit).await,
+                    Err(_) => Probe::ConnectFailed,
+                },
+            };
+            reports.tell(Report::Probed(probe)).await;
+        });
+    }
+}
+
+fn client(channel: Channel) -> Client {
+    FlightServiceClient::new(channel).max_decoding_message_size(MOST_MESSAGE)
+}
+
+async fn connect(endpoint: &str, limit: Duration) -> Result<Channel, tonic::transport::Error> {
+    let address = endpoint.trim_start_matches(super::FLIGHT_SCHEME);
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(limit)
+        .tcp_nodelay(true);
+    endpoint.connect().await
+}
+
+async fn stats(channel: Channel, limit: Duration) -> Probe {
+    let asked = async {
+        let mut results = client(channel).do_action(Action::new(STATS, "")).await?;
+        results.get_mut().message().await
+    };
+    match timeout(limit, asked).await {
+        Err(_) => Probe::Silent,
+        Ok(Ok(result)) => Probe::Up(result.and_then(|result| load(&result.body))),
+        // It lives, but has no report to give.
+        Ok(Err(status)) if status.code() == Code::Unimplemented => Probe::Up(None),
+        Ok(Err(_)) => Probe::Down,
+    }
+}
+
+fn load(body: &[u8]) -> Option<Load> {
+    let values = std::str::from_utf8(body)
+        .ok()?
+        .split(';')
+        .filter_map(|gauge| {
+            let (name, value) = gauge.split_once(':')?;
+            Some((name, value.parse().ok()?))
+        });
+    Some(sedgebeam_settings::load(values))
+}
+
+/// What an error says of an attempt.
+fn end(status: &Status) -> End {
+    let not_run = status.metadata().contains_key(NOT_RUN);
+    match status.code() {
+        Code::ResourceExhausted if not_run => End::Busy,
+        _ if not_run => End::Void,
+        Code::Unavailable => End::Reset,
+        _ => End::Error,
+    }
+}
+
+/// One attempt, from its connection to its last page.
+struct Task {
+    attempt: Attempt,
+    endpoint: String,
+    connect_timeout: Duration,
+    reports: Reports,
+}
+
+impl Task {
+    async fn run(
+        self,
+        lane: u64,
+        channel: Option<Channel>,
+        up: mpsc::Sender<Came>,
+        asked: mpsc::Receiver<More>,
+    ) {
+        let (id, number) = (self.attempt.request, self.attempt.number);
+        let channel = match channel {
+            Some(channel) => channel,
+            None => match connect(&self.endpoint, self.connect_timeout).await {
+                Ok(channel) => {
+                    let _ = up.send(Came::Up(lane, channel.clone())).await;
+                    channel
+                }
+                Err(error) => {
+                    log::info!("connecting to {}: {error}", self.endpoint);
+                    return self.reports.ended(id, number, End::ConnectFailed).await;
+                }
+            },
+        };
+        match self.result(client(channel)).await {
+            Ok((stream, work)) => self.pages(stream, work, asked).await,
+            Err(status) => {
+                log::debug!("{}: {status}", self.endpoint);
+                self.reports.ended(id, number, end(&status)).await;
+            }
+        }
+    }
+
+    fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        let fields = [
+            ("txn", format!("{:016x}", self.attempt.request.0)),
+            ("kind", self.attempt.class.to_string()),
+            ("rank", self.attempt.rank.to_string()),
+            ("ms", self.attempt.timeout.as_millis().max(1).to_string()),
+        ];
+        for (name, value) in fields {
+            // A class whose name no header can hold goes without it.
+            if let Ok(value) = value.parse() {
+                request.metadata_mut().insert(name, value);
+            }
+        }
+        request
+    }
+
+    /// Runs the statement and opens its result.
+    async fn result(
+        &self,
+        mut client: Client,
+    ) -> Result<(FlightRecordBatchStream, Option<Micros>), Status> {
+        let query = String::from_utf8(self.attempt.statement.to_vec())
+            .map_err(|_| Status::invalid_argument("a statement that is not UTF-8"))?;
+        let command = CommandStatementQuery {
+            query,
+            transaction_id: None,
+        };
+        let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
+        let info = self.info(&mut client, descriptor).await?;
+        let mut guard = Guard(Some((client.clone(), info.clone())));
+        let answer = client.do_get(self.request(ticket(info)?)).await?;
+        let work = answer.metadata().get(WORK);
+        let work = work.and_then(|work| work.to_str().ok()?.parse::<f64>().ok());
+        let work = work.filter(|work| *work >= 1.0);
+        let data = answer.into_inner().map_err(Into::into);
+        let stream = FlightRecordBatchStream::new_from_flight_data(data);
+        // From here on, dropping the stream tells the engine.
+        guard.0 = None;
+        Ok((stream, work.map(|work| Micros::from_millis(work as u64))))
+    }
+
+    /// Polls the statement until it is ready; its progress is reported.
+    async fn info(
+        &self,
+        client: &mut Client,
+        descriptor: FlightDescriptor,
+    ) -> Result<FlightInfo, Status> {
+        let missing = || Status::internal("an answer without flight info");
+        let (mut next, mut pause) = (descriptor.clone(), FIRST_POLL);
+        let mut guard = Guard(None);
+        loop {
+            let poll = match client.poll_flight_info(self.request(next)).await {
+                Ok(poll) => poll.into_inner(),
+                Err(status) if status.code() == Code::Unimplemented => {
+                    let info = client.get_flight_info(self.request(descriptor)).await?;
+                    return Ok(info.into_inner());
+                }
+                Err(status) => {
+                    guard.0 = None;
+                    return Err(status);
+                }
+            };
+            let Some(more) = poll.flight_descriptor else {
+                guard.0 = None;
+                return poll.info.ok_or_else(missing);
+            };
+            guard.0 = poll.info.map(|info| (client.clone(), info));
+            let note = Note::Progress(poll.progress.unwrap_or_default().clamp(0.0, 1.0));
+            let (id, number) = (self.attempt.request, self.attempt.number);
+            self.reports.tell(Report::Note(id, number, note)).await;
+            sleep(pause).await;
+            (next, pause) = (more, (pause * 2).min(LONGEST_POLL));
+        }
+    }
+
+    /// Reports the first page, and hands out the others as they are asked for.
+    async fn pages(
+        &self,
+        mut stream: FlightRecordBatchStream,
+        work: Option<Micros>,
+        mut asked: mpsc::Receiver<More>,
+    ) {
+        let (id, number) = (self.attempt.request, self.attempt.number);
+        let end = match next(&mut stream).await {
+            Ok(page) => End::Ok {
+                page,
+                work,
+                load: None,
+            },
+            Err(status) => end(&status),
+        };
+        let more = matches!(&end, End::Ok { page, .. } if !page.last);
+        self.reports.ended(id, number, end).await;
+        while more && let Some(asked) = asked.recv().await {
+            let page = match next(&mut stream).await {
+                Ok(page) => page,
+                Err(status) => {
+                    log::info!("{}: the rest of a result: {status}", self.endpoint);
+                    return;
+                }
+            };
+            let last = page.last;
+            // A reader that has left asks no more.
+            if asked.reply.send(page).is_err() || last {
+                return;
+            }
+        }
+    }
+}
+
+fn ticket(info: FlightInfo) -> Result<Ticket, Status> {
+    let mut endpoints = info.endpoint.into_iter();
+    let ticket = endpoints.next().and_then(|endpoint| endpoint.ticket);
+    match endpoints.next() {
+        None => ticket.ok_or_else(|| Status::internal("flight info without a ticket")),
+        Some(_) => Err(Status::internal("flight info of more than one endpoint")),
+    }
+}
+
+/// The next page. That it was the last is known only behind it: then an empty page follows.
+async fn next(stream: &mut FlightRecordBatchStream) -> Result<Page, Status> {
+    match stream.next().await {
+        None => Ok(Page {
+            rows: bytes::Bytes::new(),
+            last: true,
+        }),
+        Some(Ok(batch)) => Ok(Page {
+            rows: arrow::rows(&batch)?,
+            last: false,
+        }),
+        Some(Err(error)) => Err(error.into()),
+    }
+}
+
+/// Cancels at its engine what is dropped while it is being run.
+struct Guard(Option<(Client, FlightInfo)>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let Some((mut client, info)) = self.0.take() else {
+            return;
+        };
+        let request = CancelFlightInfoRequest { info: Some(info) };
+        let action = Action::new("CancelFlightInfo", request.encode_to_vec());
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            // Best effort: the engine also learns of the end of the call, or of its time.
+            runtime.spawn(async move { client.do_action(action).await.map(drop) });
+        }
+    }
+}
--- a/dispatcher/src/engine/mod.rs
+++ b/dispatcher/src/engine/mod.rs
@@ -1,5 +1,6 @@
 //! Ledger engines: one actor each behind one message type, whatever its wire.
 
+pub mod flight;
 pub mod resp;
 
 use crate::broker::{BrokerBox, ToBroker};
@@ -94,6 +95,9 @@
 /// Requests that may wait in an engine's mailbox: far more than it ever runs.
 const MAILBOX: usize = 4096;
 
+/// An endpoint with this ahead of it speaks Arrow Flight SQL; any other speaks RESP.
+pub const FLIGHT_SCHEME: &str = "grpc://";
+
 /// Starts the actor of an engine.
 pub fn start(
     id: EngineId,
@@ -107,11 +111,18 @@
         engine: id,
         broker: broker.clone(),
     };
-    let actor = resp::run(endpoint.to_string(), connections, incoming, reports);
-    supervise::watch(format!("engine {uid}"), actor, move || {
+    let (name, endpoint) = (format!("engine {uid}"), endpoint.to_string());
+    let died = move || {
         // What was out there may have run.
         tokio::spawn(async move { broker.send(ToBroker::EngineDied(id)).await });
-    });
+    };
+    if endpoint.starts_with(FLIGHT_SCHEME) {
+        let actor = flight::run(endpoint, connections, incoming, reports);
+        supervise::watch(name, actor, died);
+    } else {
+        let actor = resp::run(endpoint, connections, incoming, reports);
+        supervise::watch(name, actor, died);
+    }
     mailbox
 }
 
--- a/dispatcher/src/engine/resp/codec.rs
+++ b/dispatcher/src/engine/resp/codec.rs
@@ -145,8 +145,11 @@
     Ok(Some((count, start + end + 1)))
 }
 
-/// Where the parts of the next array stand, and its whole length.
-fn frame(bytes: &[u8]) -> io::Result<Option<(Vec<(usize, usize)>, usize)>> {
+/// Where the parts of an array stand, and its whole length.
+type Frame = (Vec<(usize, usize)>, usize);
+
+/// The next array, if it has come whole.
+fn frame(bytes: &[u8]) -> io::Result<Option<Frame>> {
     let Some((parts, mut at)) = count(bytes, 0, b'*', MOST_PARTS)? else {
         return Ok(None);
     };
--- /dev/null
+++ b/dispatcher/src/front/flight.rs
@@ -0,0 +1,356 @@
+//! The Arrow Flight SQL front.
+//!
+//! GetFlightInfo checks a statement and gives a ticket that is good once; DoGet runs it. The fields stand
+//! in a comment ahead of the statement, as on the other front, or else in the call's metadata.
+
+use super::{Shared, reason, statement};
+use crate::arrow;
+use crate::broker::{self, Answer, Broken, Delivery, Failure, NewRequest};
+use arrow_flight::encode::FlightDataEncoderBuilder;
+use arrow_flight::error::FlightError;
+use arrow_flight::flight_service_server::{FlightService, FlightServiceServer};
+use arrow_flight::sql::server::{FlightSqlService, PeekableFlightDataStream};
+use arrow_flight::sql::{
+    ActionCancelQueryRequest, ActionCancelQueryResult, CommandStatementQuery,
+    CommandStatementUpdate, ProstMessageExt, SqlInfo, TicketStatementQuery,
+};
+use arrow_flight::{
+    Action, CancelFlightInfoRequest, CancelFlightInfoResult, CancelStatus, FlightDescriptor,
+    FlightEndpoint, FlightInfo, Ticket,
+};
+use bytes::Bytes;
+use futures::stream::{self, TryStreamExt};
+use prost::Message;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tonic::metadata::MetadataMap;
+use tonic::{Code, Request, Response, Status};
+use tonic_types::{ErrorDetails, StatusExt};
+
+/// The longest message that a client may send.
+const MOST_MESSAGE: usize = 256 * 1024;
+/// Tickets that may be out at once.
+const MOST_TICKETS: usize = 4096;
+/// Metadata of the fields starts with this.
+const PREFIX: &str = "sedgebeam-";
+const CANCEL_FLIGHT_INFO: &str = "CancelFlightInfo";
+
+type FlightStream = <Front as FlightService>::DoGetStream;
+
+/// What a ticket stands for.
+enum Held {
+    /// Not redeemed yet.
+    Ready(Box<NewRequest>),
+    /// Redeemed: its token calls it off.
+    Running(CancellationToken, Instant),
+}
+
+/// Tickets that are out, by their number.
+#[derive(Default)]
+struct Tickets {
+    held: HashMap<u64, Held>,
+    next: u64,
+}
+
+impl Tickets {
+    fn forget_old(&mut self, now: Instant) {
+        self.held.retain(|_, held| match held {
+            Held::Ready(request) => now < request.deadline,
+            Held::Running(_, deadline) => now < *deadline,
+        });
+    }
+}
+
+#[derive(Clone)]
+pub struct Front {
+    shared: Shared,
+    tickets: Arc<Mutex<Tickets>>,
+}
+
+/// The service for a listener.
+pub fn service(shared: Shared, seed: u64) -> FlightServiceServer<Front> {
+    let tickets = Tickets {
+        next: seed,
+        ..Tickets::default()
+    };
+    let front = Front {
+        shared,
+        tickets: Arc::new(Mutex::new(tickets)),
+    };
+    FlightServiceServer::new(front).max_decoding_message_size(MOST_MESSAGE)
+}
+
+fn invalid(why: impl Into<String>) -> Status {
+    Status::invalid_argument(why)
+}
+
+/// The time that the call itself allows, from the header of gRPC.
+fn call_timeout(metadata: &MetadataMap) -> Option<Duration> {
+    let text = metadata.get("grpc-timeout")?.to_str().ok()?;
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number: u64 = number.parse().ok()?;
+    Some(match unit {
+        "H" => Duration::from_secs(number.checked_mul(3600)?),
+        "M" => Duration::from_secs(number.checked_mul(60)?),
+        "S" => Duration::from_secs(number),
+        "m" => Duration::from_millis(number),
+        "u" => Duration::from_micros(number),
+        "n" => Duration::from_nanos(number),
+        _ => return None,
+    })
+}
+
+fn refused(retry_after: Duration) -> Status {
+    let details = ErrorDetails::with_retry_info(Some(retry_after));
+    let message = "too busy to run the statement; it did not run";
+    Status::with_error_details(Code::ResourceExhausted, message, details)
+}
+
+fn failed(failure: Failure) -> Status {
+    let code = match failure {
+        // It may have run: a client must not take it for harmless to repeat.
+        Failure::Unanswered | Failure::Ending => Code::Aborted,
+        Failure::Cancelled => Code::Cancelled,
+        Failure::Duplicate => Code::AlreadyExists,
+    };
+    Status::new(code, reason(failure))
+}
+
+impl Front {
+    fn tickets(&self) -> MutexGuard<'_, Tickets> {
+        // Nothing panics while it is held; what it holds would be whole all the same.
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads a statement whose call has just come.
+    fn read(&self, query: String, metadata: &MetadataMap) -> Result<NewRequest, Status> {
+        let came = Instant::now();
+        let text = Bytes::from(query);
+        let names = &self.shared.names;
+        let told = std::str::from_utf8(&text).is_ok_and(statement::has_fields);
+        let request = if told {
+            statement::read(&text, came, names, None)
+        } else {
+            let field = |name: &str| metadata.get(format!("{PREFIX}{name}"))?.to_str().ok();
+            statement::build(field, text.clone(), came, names, None)
+        };
+        let mut request = request.map_err(|statement::Unusable(why)| invalid(why))?;
+        if let Some(limit) = call_timeout(metadata) {
+            request.deadline = request.deadline.min(came + limit);
+        }
+        Ok(request)
+    }
+
+    /// Holds a request under a new ticket.
+    fn hold(&self, request: NewRequest) -> Result<u64, Status> {
+        let mut tickets = self.tickets();
+        if tickets.held.len() >= MOST_TICKETS {
+            tickets.forget_old(Instant::now());
+        }
+        if tickets.held.len() >= MOST_TICKETS {
+            return Err(refused(Duration::from_secs(1)));
+        }
+        tickets.next = tickets.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let number = tickets.next;
+        tickets.held.insert(number, Held::Ready(Box::new(request)));
+        Ok(number)
+    }
+
+    /// Takes the request of a ticket, once: a second DoGet must not run it again.
+    fn redeem(&self, handle: &[u8]) -> Result<(NewRequest, Running), Status> {
+        let number = number(handle)?;
+        let mut tickets = self.tickets();
+        let unknown = || Status::not_found("this ticket was never given, or is over");
+        match tickets.held.remove(&number).ok_or_else(unknown)? {
+            Held::Ready(request) => {
+                let token = CancellationToken::new();
+                let running = Held::Running(token.clone(), request.deadline);
+                tickets.held.insert(number, running);
+                let running = Running {
+                    front: self.clone(),
+                    number,
+                    token,
+                };
+                Ok((*request, running))
+            }
+            running => {
+                tickets.held.insert(number, running);
+                Err(Status::failed_precondition(
+                    "this ticket has been redeemed already",
+                ))
+            }
+        }
+    }
+
+    /// Calls off what a ticket stands for.
+    fn cancel(&self, info: &FlightInfo) -> Result<(), Status> {
+        let ticket = info
+            .endpoint
+            .first()
+            .and_then(|endpoint| endpoint.ticket.as_ref());
+        let ticket = ticket.ok_or_else(|| invalid("flight info without a ticket"))?;
+        let any = arrow_flight::sql::Any::decode(&*ticket.ticket);
+        let query = any
+            .ok()
+            .and_then(|any| any.unpack::<TicketStatementQuery>().ok().flatten());
+        let query = query.ok_or_else(|| invalid("a ticket that was not given here"))?;
+        let number = number(&query.statement_handle)?;
+        let held = self.tickets().held.remove(&number);
+        match held.ok_or_else(|| Status::not_found("this ticket is over"))? {
+            Held::Ready(_) => {}
+            Held::Running(token, _) => token.cancel(),
+        }
+        Ok(())
+    }
+
+    /// Runs a request to its answer. A call that is dropped meanwhile leaves the broker.
+    async fn answer(
+        &self,
+        request: NewRequest,
+        token: &CancellationToken,
+    ) -> Result<Delivery, Status> {
+        let pending = broker::submit(&self.shared.broker, request).await;
+        let answer = tokio::select! {
+            answer = pending => answer,
+            () = token.cancelled() => return Err(failed(Failure::Cancelled)),
+        };
+        match answer {
+            Answer::Rows(delivery) => Ok(delivery),
+            Answer::Refused { retry_after } => Err(refused(retry_after)),
+            Answer::Failed(failure) => Err(failed(failure)),
+        }
+    }
+}
+
+fn number(handle: &[u8]) -> Result<u64, Status> {
+    let handle = handle
+        .try_into()
+        .map_err(|_| invalid("a ticket that was not given here"))?;
+    Ok(u64::from_be_bytes(handle))
+}
+
+/// A ticket under way, forgotten when its call ends.
+struct Running {
+    front: Front,
+    number: u64,
+    token: CancellationToken,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.front.tickets().held.remove(&self.number);
+    }
+}
+
+/// The next batch of a result, or why it ends here; an error is the last that a client sees.
+async fn next_batch(
+    (mut delivery, running): (Delivery, Running),
+) -> Result<Option<(arrow_array::RecordBatch, (Delivery, Running))>, FlightError> {
+    let page = tokio::select! {
+        biased;
+        () = running.token.cancelled() => {
+            return Err(FlightError::from(failed(Failure::Cancelled)));
+        }
+        page = delivery.next() => page,
+    };
+    match page {
+        Ok(Some(page)) => Ok(Some((arrow::batch(&page)?, (delivery, running)))),
+        Ok(None) => Ok(None),
+        Err(Broken) => {
+            let lost = Status::data_loss("the rest of the result was lost with its engine");
+            Err(FlightError::from(lost))
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl FlightSqlService for Front {
+    type FlightService = Front;
+
+    async fn get_flight_info_statement(
+        &self,
+        query: CommandStatementQuery,
+        request: Request<FlightDescriptor>,
+    ) -> Result<Response<FlightInfo>, Status> {
+        let held = self.read(query.query, request.metadata())?;
+        let number = self.hold(held)?;
+        let ticket = TicketStatementQuery {
+            statement_handle: Bytes::copy_from_slice(&number.to_be_bytes()),
+        };
+        let ticket = Ticket::new(ticket.as_any().encode_to_vec());
+        let info = FlightInfo::new()
+            .try_with_schema(&arrow::schema())
+            .map_err(|error| Status::internal(error.to_string()))?
+            .with_endpoint(FlightEndpoint::new().with_ticket(ticket))
+            .with_descriptor(request.into_inner());
+        Ok(Response::new(info))
+    }
+
+    async fn do_get_statement(
+        &self,
+        ticket: TicketStatementQuery,
+        request: Request<Ticket>,
+    ) -> Result<Response<FlightStream>, Status> {
+        let (mut held, running) = self.redeem(&ticket.statement_handle)?;
+        if let Some(limit) = call_timeout(request.metadata()) {
+            held.deadline = held.deadline.min(Instant::now() + limit);
+        }
+        let delivery = self.answer(held, &running.token).await?;
+        let batches = stream::try_unfold((delivery, running), next_batch);
+        let encoder = FlightDataEncoderBuilder::new().with_schema(arrow::schema());
+        let data = encoder.build(batches).map_err(Status::from);
+        Ok(Response::new(Box::pin(data)))
+    }
+
+    async fn do_put_statement_update(
+        &self,
+        update: CommandStatementUpdate,
+        request: Request<PeekableFlightDataStream>,
+    ) -> Result<i64, Status> {
+        let held = self.read(update.query, request.metadata())?;
+        let mut delivery = self.answer(held, &CancellationToken::new()).await?;
+        let mut rows = 0;
+        while let Some(page) = delivery.next().await.map_err(|Broken| {
+            Status::data_loss("the rest of the result was lost with its engine")
+        })? {
+            rows += page.rows.iter().filter(|byte| **byte == b'\n').count();
+        }
+        Ok(rows as i64)
+    }
+
+    async fn do_action_cancel_query(
+        &self,
+        query: ActionCancelQueryRequest,
+        _request: Request<Action>,
+    ) -> Result<ActionCancelQueryResult, Status> {
+        let info = FlightInfo::decode(query.info).map_err(|error| invalid(error.to_string()))?;
+        self.cancel(&info)?;
+        Ok(ActionCancelQueryResult {
+            result: CancelStatus::Cancelled as i32,
+        })
+    }
+
+    async fn do_action_fallback(
+        &self,
+        request: Request<Action>,
+    ) -> Result<Response<<Self as FlightService>::DoActionStream>, Status> {
+        let action = request.into_inner();
+        if action.r#type != CANCEL_FLIGHT_INFO {
+            return Err(invalid(format!("no action {:?} here", action.r#type)));
+        }
+        let request = CancelFlightInfoRequest::decode(action.body)
+            .map_err(|error| invalid(error.to_string()))?;
+        let info = request.info.ok_or_else(|| invalid("no flight info"))?;
+        self.cancel(&info)?;
+        let result = CancelFlightInfoResult {
+            status: CancelStatus::Cancelled as i32,
+        };
+        let result = arrow_flight::Result::new(result.encode_to_vec());
+        Ok(Response::new(Box::pin(stream::iter([Ok(result)]))))
+    }
+
+    async fn register_sql_info(&self, _id: i32, _result: &SqlInfo) {}
+}
--- a/dispatcher/src/front/mod.rs
+++ b/dispatcher/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! What clients speak to: thin fronts that decode a request, call the broker and encode its answer.
 
+pub mod flight;
 pub mod pg;
 pub mod statement;
 
--- a/dispatcher/src/front/statement.rs
+++ b/dispatcher/src/front/statement.rs
@@ -3,7 +3,7 @@
 use crate::broker::{NewRequest, SessionKey};
 use crate::clock::duration;
 use bytes::Bytes;
-use sedgebeam_core::{GroupId, Micros, RequestId};
+use sedgebeam_core::{GroupId, RequestId};
 use sedgebeam_settings::{Names, micros};
 use tokio::time::Instant;
 
@@ -25,7 +25,7 @@
     ))
 }
 
-/// Reads a request that came whole at `came`.
+/// Reads a request that came whole at `came`, with its fields in the comment ahead of it.
 pub fn read(
     text: &Bytes,
     came: Instant,
@@ -43,33 +43,46 @@
             .find(|(known, _)| *known == name)
             .map(|(_, value)| value)
     };
-    let number = |name: &str| match field(name) {
+    let start = whole.len() - statement.len();
+    let statement = text.slice(start..);
+    build(field, statement, came, names, session)
+}
+
+/// Whether a comment of fields stands ahead of the statement.
+pub fn has_fields(text: &str) -> bool {
+    split(text).is_some_and(|(fields, _)| fields.contains('='))
+}
+
+/// Builds a request from its fields, wherever they stood.
+pub fn build<'a>(
+    field: impl Fn(&str) -> Option<&'a str>,
+    statement: Bytes,
+    came: Instant,
+    names: &Names,
+    session: Option<SessionKey>,
+) -> Result<NewRequest, Unusable> {
+    let text = std::str::from_utf8(&statement).map_err(|_| Unusable("not UTF-8".to_string()))?;
+    let number = |name: &str| match field(name).map(str::parse::<f64>) {
         None => Ok(0.0),
-        Some(text) => match text.parse::<f64>() {
-            Ok(value) if value.is_finite() && value >= 0.0 => Ok(value),
-            _ => Err(unusable(name)),
-        },
+        Some(Ok(value)) if value.is_finite() && value >= 0.0 => Ok(value),
+        Some(_) => Err(unusable(name)),
     };
-    let class = field("verb").and_then(|verb| names.class(verb));
     let limit = number("limit")?;
     if limit == 0.0 {
         return Err(unusable("limit"));
     }
+    let class = field("verb").and_then(|verb| names.class(verb));
     let id = field("txn").filter(|txn| txn.len() <= 16);
     let id = id.and_then(|txn| u64::from_str_radix(txn, 16).ok());
-    let start = whole.len() - statement.len();
     Ok(NewRequest {
         id: RequestId(id.ok_or_else(|| unusable("txn"))?),
         class: class.ok_or_else(|| unusable("verb"))?,
         tenant: field("team").and_then(|team| names.tenant(team)),
         deadline: came + duration(micros(limit)),
-        work: match number("cpu")? {
-            0.0 => Micros(0),
-            millis => micros(millis),
-        },
+        work: micros(number("cpu")?),
         memory_mb: number("memory")?,
-        group: GroupId(group(statement).unwrap_or_default()),
-        statement: text.slice(start..),
+        group: GroupId(group(text).unwrap_or_default()),
+        statement,
         session,
     })
 }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::broker::{self, SessionKey, ToBroker};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::front::{Shared, pg};
+use crate::front::{Shared, flight, pg};
 use crate::roster::{self, Listing};
 use crate::supervise;
 use std::io;
@@ -13,11 +13,16 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
+use tokio_stream::wrappers::TcpListenerStream;
 
 /// For so long after SIGTERM connections and requests go on coming, with some to spare.
 const LAST_CALL: Duration = Duration::from_millis(600);
 /// The share of the descriptors that sessions may hold: the platform's clients hold a third.
 const SESSIONS_PART: f64 = 0.55;
+/// Calls that one Flight SQL client may have under way.
+const FLIGHT_CALLS: usize = 128;
+/// A Flight SQL client that answers no ping for as long again has gone.
+const FLIGHT_ALIVE: Duration = Duration::from_secs(10);
 /// A pause after an accept that failed, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -41,6 +46,21 @@
     let (end, ending) = watch::channel(false);
     // Every session holds a sender; when the last is dropped, all have ended.
     let (alive, mut all_ended) = mpsc::channel::<()>(1);
+    if let Some(address) = config.flight {
+        let listener = TcpListener::bind(address).await?;
+        log::info!(
+            "{} serves Flight SQL clients on {}",
+            config.name,
+            listener.local_addr()?
+        );
+        let serving = serve_flight(listener, shared.clone(), config.seed, end.subscribe());
+        let alive = alive.clone();
+        supervise::vital("the Flight SQL front", async move {
+            let served = serving.await;
+            drop(alive);
+            served
+        });
+    }
     let listener = TcpListener::bind(config.listen).await?;
     log::info!(
         "{} serves PostgreSQL clients on {}",
@@ -70,6 +90,27 @@
     Ok(())
 }
 
+/// Serves Flight SQL clients until the end, and then what they have under way.
+async fn serve_flight(
+    listener: TcpListener,
+    shared: Shared,
+    seed: u64,
+    mut end: watch::Receiver<bool>,
+) {
+    let served = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .concurrency_limit_per_connection(FLIGHT_CALLS)
+        .http2_keepalive_interval(Some(FLIGHT_ALIVE))
+        .add_service(flight::service(shared, seed))
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            // A sender that is gone has ended too.
+            let _ = end.wait_for(|end| *end).await;
+        });
+    if let Err(error) = served.await {
+        log::error!("the Flight SQL front: {error}");
+    }
+}
+
 struct Sessions {
     shared: Shared,
     ending: watch::Receiver<bool>,
