Test both fronts and both kinds of engine with one scenario language

Seen while writing them: an attempt given up between two polls of a Flight engine stayed running there, as no call was open and no flight info known (engine/flight.rs, the guard in Task::info). The guard now sends sedgebeam.abort in that case; a_client_that_goes_away_frees_the_engine holds it.

--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -26,7 +26,9 @@
 pub const NOT_RUN: &str = "sedgebeam-not-run";
 /// Metadata of a result: the work that it took, in milliseconds.
 pub const WORK: &str = "sedgebeam-work";
-/// Actions of an engine beyond the standard ones: a new priority, and a load report.
+/// Actions of an engine beyond the standard ones: a new priority, a load report, and the end of what
+/// has no flight info yet that CancelFlightInfo could name.
+pub const ABORT: &str = "sedgebeam.abort";
 pub const RENICE: &str = "sedgebeam.renice";
 pub const STATS: &str = "sedgebeam.stats";
 
@@ -372,7 +374,7 @@
         };
         let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
         let info = self.info(&mut client, descriptor).await?;
-        let mut guard = Guard(Some((client.clone(), info.clone())));
+        let mut guard = Guard(Some((client.clone(), cancel(info.clone()))));
         let answer = client.do_get(self.request(ticket(info)?)).await?;
         let work = answer.metadata().get(WORK);
         let work = work.and_then(|work| work.to_str().ok()?.parse::<f64>().ok());
@@ -409,7 +411,9 @@
                 guard.0 = None;
                 return poll.info.ok_or_else(missing);
             };
-            guard.0 = poll.info.map(|info| (client.clone(), info));
+            let abort = || Action::new(ABORT, format!("{:016x}", self.attempt.request.0));
+            let action = poll.info.map_or_else(abort, cancel);
+            guard.0 = Some((client.clone(), action));
             let note = Note::Progress(poll.progress.unwrap_or_default().clamp(0.0, 1.0));
             let (id, number) = (self.attempt.request, self.attempt.number);
             self.reports.tell(Report::Note(id, number, note)).await;
@@ -477,16 +481,19 @@
     }
 }
 
+fn cancel(info: FlightInfo) -> Action {
+    let request = CancelFlightInfoRequest { info: Some(info) };
+    Action::new("CancelFlightInfo", request.encode_to_vec())
+}
+
 /// Cancels at its engine what is dropped while it is being run.
-struct Guard(Option<(Client, FlightInfo)>);
+struct Guard(Option<(Client, Action)>);
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let Some((mut client, info)) = self.0.take() else {
+        let Some((mut client, action)) = self.0.take() else {
             return;
         };
-        let request = CancelFlightInfoRequest { info: Some(info) };
-        let action = Action::new("CancelFlightInfo", request.encode_to_vec());
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             // Best effort: the engine also learns of the end of the call, or of its time.
             runtime.spawn(async move { client.do_action(action).await.map(drop) });
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each peer has an actor with a bounded mailbox, and so have the change log and the module. The
 //! [`broker`] is the module's actor: it deals in requests, attempts and outcomes and knows no wire.
 
-mod arrow;
+pub mod arrow;
 pub mod broker;
 pub mod clock;
 pub mod config;
--- /dev/null
+++ b/dispatcher/tests/scenarios/fronts.rs
@@ -0,0 +1,214 @@
+//! Both fronts, and engines of both kinds: the same requests get the same answers.
+
+use crate::stage::Stage;
+
+/// Plays a scenario once for every front before every kind of engine: `C` is the client, `E` the engine.
+fn everywhere(scenario: &str) {
+    for (client, engine) in [("c1", "e1"), ("c1", "g1"), ("f1", "e1"), ("f1", "g1")] {
+        println!("{client} before {engine}");
+        let lines = scenario
+            .lines()
+            .map(str::trim)
+            .map(|line| match line.split_at(1) {
+                ("C", rest) => format!("{client}{rest}\n"),
+                ("E", rest) => format!("{engine}{rest}\n"),
+                _ => panic!("neither client nor engine: {line}"),
+            });
+        let mut stage = Stage::new(&[engine]);
+        stage.play(&lines.collect::<String>());
+        let more = stage.left(engine);
+        let again = more.iter().any(|heard| heard.starts_with("fetch"));
+        assert!(!again, "sent once more: {more:?}");
+    }
+}
+
+#[test]
+fn a_result_of_pages_arrives_whole_and_in_order() {
+    everywhere(
+        "C send report 1
+         E expect fetch 1 kind=report,ms=
+         E send 1 OK 2 a|b|c;d|e|f
+         C expect row a|b|c
+         C expect row d|e|f
+         E expect more 1 1
+         E send 1 ROWS 1 g|h|i
+         C expect row g|h|i
+         C expect complete 3",
+    );
+}
+
+#[test]
+fn the_statement_goes_on_unchanged_without_its_comment() {
+    for (client, engine) in [("c1", "e1"), ("f1", "g1")] {
+        let mut stage = Stage::new(&[engine]);
+        stage.play(&format!("{client} send lookup 1"));
+        let fetch = stage.hear(engine);
+        let (head, statement) = fetch.split_at("fetch 1 kind=lookup,ms=".len());
+        assert_eq!(head, "fetch 1 kind=lookup,ms=");
+        let (_, statement) = statement.split_once(' ').expect("a statement");
+        assert_eq!(statement, "SELECT * FROM sales_1.orders");
+    }
+}
+
+#[test]
+fn a_load_turned_away_unseen_is_sent_again() {
+    everywhere(
+        "C send journal-load 1
+         E expect fetch 1
+         E send 1 BUSY
+         E expect fetch 1
+         E send 1 OK 1 a|b|c
+         C expect row a|b|c
+         C expect complete 1",
+    );
+}
+
+#[test]
+fn a_load_that_failed_is_not_sent_again_on_either_front() {
+    everywhere(
+        "C send journal-load 1
+         E expect fetch 1
+         E send 1 ERR
+         C expect error",
+    );
+}
+
+#[test]
+fn a_result_cut_short_ends_in_an_error() {
+    everywhere(
+        "C send report 1
+         E expect fetch 1
+         E send 1 OK 3 a|b|c
+         C expect row a|b|c
+         E send 1 ERR
+         C expect error",
+    );
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    // No engine is listed: the module gives the report up after its patience, and that is told at once.
+    let mut stage = Stage::new(&[]);
+    for (client, id) in [("c1", 1), ("f1", 2)] {
+        stage.play(&format!("{client} send report {id}"));
+        let heard = stage.hear(client);
+        assert!(heard.starts_with("error 53300"), "{heard}");
+        let told = heard.contains("try again in") || heard.contains("retry in");
+        assert!(told, "{heard}");
+    }
+}
+
+#[test]
+fn a_deadline_frees_the_engine_and_fails_a_load_that_may_have_run() {
+    everywhere(
+        "C send journal-load 1 400
+         E expect fetch 1
+         E expect abort 1
+         C expect error",
+    );
+    for (client, engine, failed) in [("c1", "e1", "error 58000"), ("f1", "g1", "error Aborted")] {
+        Stage::new(&[engine]).play(&format!(
+            "{client} send journal-load 1 400
+             {engine} expect fetch 1
+             {client} expect {failed}"
+        ));
+    }
+}
+
+#[test]
+fn a_client_that_goes_away_frees_the_engine() {
+    everywhere(
+        "C send report 1
+         E expect fetch 1
+         C close
+         E expect abort 1",
+    );
+}
+
+#[test]
+fn a_cancel_in_the_middle_of_a_stream_frees_the_engine() {
+    for (engine, freed) in [("e1", "done 1"), ("g1", "abort 1")] {
+        for away in ["close", "cancel"] {
+            Stage::new(&[engine]).play(&format!(
+                "f1 send report 1
+                 {engine} expect fetch 1
+                 {engine} send 1 OK 3 a|b|c
+                 f1 expect row a|b|c
+                 {engine} expect more 1 1
+                 f1 send {away}
+                 {engine} expect {freed}"
+            ));
+        }
+    }
+}
+
+#[test]
+fn a_ticket_runs_its_statement_only_once() {
+    Stage::new(&["g1"]).play(
+        "f1 send journal-load 1
+         g1 expect fetch 1
+         f1 send again
+         f1 expect error FailedPrecondition
+         g1 send 1 OK 1 a|b|c
+         f1 expect row a|b|c
+         f1 expect complete 1
+         f1 send again
+         f1 expect error NotFound",
+    );
+}
+
+#[test]
+fn an_update_counts_the_rows_of_its_load() {
+    Stage::new(&["e1"]).play(
+        "f1 send update journal-load 1
+         e1 expect fetch 1 kind=journal-load
+         e1 send 1 OK 1 a|b|c;d|e|f
+         f1 expect complete 2",
+    );
+}
+
+/// What a client got, and how often each load was fetched, before a fleet that speaks both protocols.
+fn mixed_fleet(client: &str) -> (usize, Vec<usize>) {
+    let engines = ["e1", "g1", "e2", "g2"];
+    let (mut stage, mut rows, mut fetches) = (Stage::new(&engines), 0, vec![0; 24]);
+    let mut kinds = std::collections::HashSet::new();
+    for id in 0..24 {
+        let class = ["lookup", "report", "journal-load"][id % 3];
+        stage.play(&format!("{client} send {class} {}", id + 1));
+        // The first engine turns it away; the next one serves it.
+        for word in ["BUSY", "OK 1 a|b|c;d|e|f"] {
+            let (engine, heard) = loop {
+                let (engine, heard) = stage.hear_any(&engines);
+                if heard.starts_with("fetch") {
+                    break (engine, heard);
+                }
+            };
+            assert!(
+                heard.starts_with(&format!("fetch {} kind={class}", id + 1)),
+                "{heard}"
+            );
+            fetches[id] += usize::from(word != "BUSY");
+            kinds.insert(engine[..1].to_string());
+            stage.play(&format!("{engine} send {} {word}", id + 1));
+        }
+        while !stage.hear(client).starts_with("complete") {
+            rows += 1;
+        }
+    }
+    assert_eq!(kinds.len(), 2, "both kinds of engine had a part");
+    for engine in engines {
+        let more = stage.left(engine);
+        assert!(
+            more.iter().all(|heard| !heard.starts_with("fetch")),
+            "{more:?}"
+        );
+    }
+    (rows, fetches)
+}
+
+#[test]
+fn both_fronts_get_equal_answers_from_a_mixed_fleet_and_no_load_runs_twice() {
+    let (pg, flight) = (mixed_fleet("c1"), mixed_fleet("f1"));
+    assert_eq!(pg, flight);
+    assert_eq!(pg, (48, vec![1; 24]));
+}
--- /dev/null
+++ b/dispatcher/tests/scenarios/main.rs
@@ -0,0 +1,10 @@
+//! Scenarios: the program itself, started on ephemeral ports of the loopback, between scripted peers.
+
+mod engines;
+mod flight_client;
+mod flight_engine;
+mod fronts;
+mod life;
+mod pg_client;
+mod stage;
+mod wire;
--- /dev/null
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -0,0 +1,346 @@
+//! The one helper of all scenarios, and their language.
+//!
+//! A line is `PEER VERB WORDS`. `send` makes a peer say something; `expect` waits until what the peer
+//! hears next begins with the words; `close` ends a peer; `wait` waits for words in the program's log.
+//! What a peer hears is queued for it, so nothing depends on how fast anything is. Peers are made by
+//! their names: `c1` a PostgreSQL client, `f1` a Flight SQL client, `e1` an engine that speaks RESP,
+//! `g1` one that speaks Flight SQL, `log` the change log, `tcp` bare bytes; `app` is the program.
+
+use crate::{engines, flight_client, flight_engine, pg_client};
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// No verdict hangs on this: it only ends a scenario that would wait for ever.
+const HANGS: Duration = Duration::from_secs(60);
+
+/// A peer's two ends: what it is to say, and what it has heard.
+pub struct Peer {
+    pub say: mpsc::UnboundedSender<String>,
+    pub heard: mpsc::UnboundedReceiver<String>,
+}
+
+/// A peer's task has the other ends.
+pub struct Role {
+    pub say: mpsc::UnboundedReceiver<String>,
+    pub heard: mpsc::UnboundedSender<String>,
+}
+
+pub fn peer() -> (Peer, Role) {
+    let (say, to_say) = mpsc::unbounded_channel();
+    let (hear, heard) = mpsc::unbounded_channel();
+    (
+        Peer { say, heard },
+        Role {
+            say: to_say,
+            heard: hear,
+        },
+    )
+}
+
+pub struct Stage {
+    runtime: Runtime,
+    app: Child,
+    log: mpsc::UnboundedReceiver<String>,
+    peers: HashMap<String, Peer>,
+    /// Where the program listens, by the kind of client.
+    addresses: HashMap<&'static str, String>,
+    endpoints: HashMap<String, String>,
+    folder: PathBuf,
+}
+
+const SETTINGS: &str = r#"{"balancers": 1, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
+  "domain": {"class_load": [false, false, true], "class_waits": [true, true, false], "priorities": true,
+    "threads_by_class": [1, 4, 2], "size_cores": [12], "size_mb": [24576.0], "tells_cost": true},
+  "limits": {"cancel": true, "max_attempts": 3, "max_streams": 4, "connect_timeout": 250.0,
+    "conn_idle": 30000.0, "max_retry_after": 1000.0},
+  "rules": {"answer_slack": 20.0, "drain_grace": 500.0},
+  "services": [
+    {"name": "lookup", "worth": 1.0, "on_time": 500.0, "give_up": 60000.0, "effect": "repeatable"},
+    {"name": "report", "worth": 12.0, "on_time": 300.0, "give_up": 60000.0, "effect": "repeatable"},
+    {"name": "journal-load", "worth": 12.0, "on_time": 300.0, "give_up": 60000.0, "effect": "once"}],
+  "tenants": [{"name": "acme", "portion": 1.0}]}"#;
+
+/// An engine as the change log lists it.
+fn target(name: &str, endpoint: &str, state: &str) -> String {
+    let uid = name
+        .bytes()
+        .fold(0u32, |sum, byte| sum * 256 + u32::from(byte));
+    format!(
+        r#"{{"uid":"s-{uid:08x}","endpoint":"{endpoint}","az":"a","model":"std","pod_group":0,"state":"{state}","capacity_hint":1,"boot_ms":0}}"#
+    )
+}
+
+impl Stage {
+    /// Starts the program before these engines; `changelog` plays the change log too.
+    pub fn new(engines: &[&str]) -> Stage {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let (mut peers, mut targets, mut changelog) = (HashMap::new(), Vec::new(), None);
+        let mut endpoints = HashMap::new();
+        for name in engines {
+            let (peer, role) = peer();
+            let listener = runtime
+                .block_on(TcpListener::bind("127.0.0.1:0"))
+                .expect("a port");
+            let address = listener.local_addr().expect("an address").to_string();
+            let endpoint = match &name[..1] {
+                "g" => format!("grpc://{address}"),
+                _ => address.clone(),
+            };
+            match &name[..1] {
+                "e" => {
+                    runtime.spawn(engines::resp(listener, role));
+                    targets.push(target(name, &endpoint, "up"));
+                }
+                "g" => {
+                    runtime.spawn(flight_engine::serve(listener, role));
+                    targets.push(target(name, &endpoint, "up"));
+                }
+                _ => {
+                    runtime.spawn(engines::changelog(listener, role));
+                    changelog = Some(address);
+                }
+            }
+            endpoints.insert(name.to_string(), endpoint);
+            peers.insert(name.to_string(), peer);
+        }
+        let folder = folder();
+        let known = format!(
+            r#"{{"seq":1,"fleet":{{"rev":1,"all":true,"targets":[{}]}}}}"#,
+            targets.join(",")
+        );
+        let log = changelog.map_or(String::new(), |address| {
+            format!(r#""changelog":"{address}","#)
+        });
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",{log}
+               "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}}}"#
+        );
+        let own = r#"{"flight": {"listen": "127.0.0.1:0"}}"#;
+        std::fs::write(folder.join("config.json"), config).expect("writes");
+        std::fs::write(folder.join("own.json"), own).expect("writes");
+        let _inside = runtime.enter();
+        let mut app = Command::new(env!("CARGO_BIN_EXE_sedgebeam"))
+            .args(["serve", "--config"])
+            .arg(folder.join("own.json"))
+            .env("PROXY_CONFIG", folder.join("config.json"))
+            .env_remove("PROXY_LISTEN")
+            .env_remove("PROXY_NAME")
+            .env("SEDGEBEAM_LOG", "info")
+            .stderr(std::process::Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program starts");
+        let (told, log) = mpsc::unbounded_channel();
+        let mut lines = BufReader::new(app.stderr.take().expect("piped")).lines();
+        runtime.spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                let _ = told.send(line);
+            }
+        });
+        drop(_inside);
+        let mut stage = Stage {
+            runtime,
+            app,
+            log,
+            peers,
+            addresses: HashMap::new(),
+            endpoints,
+            folder,
+        };
+        let flight = stage.logged("serves Flight SQL clients on ");
+        stage.addresses.insert("f", flight);
+        let pg = stage.logged("serves PostgreSQL clients on ");
+        stage.addresses.insert("c", pg);
+        stage
+    }
+
+    /// Waits for a line of the log that holds the words; what stands behind them.
+    fn logged(&mut self, words: &str) -> String {
+        loop {
+            let line = self
+                .runtime
+                .block_on(async { timeout(HANGS, self.log.recv()).await });
+            let line = line.unwrap_or_else(|_| panic!("the log never said {words:?}"));
+            let line = line.unwrap_or_else(|| panic!("the log ended before {words:?}"));
+            if let Some((_, rest)) = line.split_once(words) {
+                return rest.trim().to_string();
+            }
+        }
+    }
+
+    /// Plays the lines of a scenario, in order.
+    pub fn play(&mut self, scenario: &str) {
+        for line in scenario
+            .lines()
+            .map(str::trim)
+            .filter(|line| !line.is_empty())
+        {
+            let mut parts = line.splitn(3, ' ');
+            let (who, verb) = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
+            let words = parts.next().unwrap_or("");
+            match (who, verb) {
+                ("app", "wait") => {
+                    self.logged(words);
+                }
+                ("app", "close") => self.terminate(),
+                ("app", "expect") => self.ended(words),
+                (_, "send") => self.send(who, words),
+                (_, "expect") => self.expect(who, words, line),
+                (_, "close") => self.send(who, "close"),
+                _ => panic!("no such line: {line}"),
+            }
+        }
+    }
+
+    fn send(&mut self, who: &str, words: &str) {
+        if !self.peers.contains_key(who) {
+            self.join(who);
+        }
+        let peer = &self.peers[who];
+        let words = self.resolved(words);
+        peer.say
+            .send(words)
+            .unwrap_or_else(|_| panic!("{who} has ended"));
+    }
+
+    /// The words, with the endpoint of an engine for `@NAME`.
+    fn resolved(&self, words: &str) -> String {
+        let word = |word: &str| match word.strip_prefix('@') {
+            Some(name) => self.endpoints[name].clone(),
+            None => word.to_string(),
+        };
+        words.split(' ').map(word).collect::<Vec<_>>().join(" ")
+    }
+
+    fn join(&mut self, who: &str) {
+        let (peer, role) = peer();
+        let address = |kind| self.addresses[kind].clone();
+        match &who[..1] {
+            "c" => drop(self.runtime.spawn(pg_client::run(address("c"), role))),
+            "f" => drop(self.runtime.spawn(flight_client::run(address("f"), role))),
+            "t" => drop(self.runtime.spawn(bare(address("c"), role))),
+            _ => panic!("no peer {who}"),
+        }
+        self.peers.insert(who.to_string(), peer);
+    }
+
+    fn expect(&mut self, who: &str, words: &str, line: &str) {
+        if !self.peers.contains_key(who) {
+            self.join(who);
+        }
+        let heard = self.hear(who);
+        assert!(heard.starts_with(words), "{line}: but heard {heard:?}");
+    }
+
+    /// What a peer hears next.
+    pub fn hear(&mut self, who: &str) -> String {
+        let peer = self.peers.get_mut(who).expect("a peer");
+        let heard = self
+            .runtime
+            .block_on(async { timeout(HANGS, peer.heard.recv()).await });
+        let heard = heard.unwrap_or_else(|_| panic!("{who} hears nothing more"));
+        heard.unwrap_or_else(|| panic!("{who} has ended"))
+    }
+
+    /// What any of these peers hears next, and which.
+    pub fn hear_any(&mut self, who: &[&str]) -> (String, String) {
+        let peers = self.peers.iter_mut();
+        let peers = peers.filter(|(name, _)| who.contains(&name.as_str()));
+        let next =
+            peers.map(|(name, peer)| Box::pin(async { (name.clone(), peer.heard.recv().await) }));
+        let next = futures::future::select_all(next);
+        let heard = self.runtime.block_on(async { timeout(HANGS, next).await });
+        let ((name, heard), _, _) = heard.expect("something is heard");
+        (name, heard.expect("a peer that has not ended"))
+    }
+
+    /// All that a peer has heard up to now and has not been expected.
+    pub fn left(&mut self, who: &str) -> Vec<String> {
+        let peer = self.peers.get_mut(who).expect("a peer");
+        std::iter::from_fn(|| peer.heard.try_recv().ok()).collect()
+    }
+
+    fn terminate(&mut self) {
+        let id = self.app.id().expect("it runs").to_string();
+        let kill = std::process::Command::new("kill")
+            .args(["-TERM", &id])
+            .status();
+        assert!(kill.expect("kill runs").success());
+    }
+
+    fn ended(&mut self, words: &str) {
+        let status = self
+            .runtime
+            .block_on(async { timeout(HANGS, self.app.wait()).await });
+        let status = status.expect("the program ends").expect("a status");
+        assert_eq!(
+            status.code().map(|code| code.to_string()).as_deref(),
+            Some(words)
+        );
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A folder of this scenario's own.
+pub fn folder() -> PathBuf {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("sedgebeam-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// An entry of the change log: `SEQ STATE NAME ENDPOINT`.
+pub fn change(seq: &str, state: &str, name: &str, endpoint: &str) -> String {
+    let target = target(name, endpoint, state);
+    format!(r#"{{"seq":{seq},"fleet":{{"rev":{seq},"all":false,"targets":[{target}]}}}}"#)
+}
+
+/// Bytes as they are: `send` takes hexadecimal; what comes back is told in it.
+async fn bare(address: String, mut role: Role) {
+    let stream = TcpStream::connect(address).await.expect("connects");
+    let (mut read, mut write) = stream.into_split();
+    let heard = role.heard.clone();
+    tokio::spawn(async move {
+        let mut bytes = [0; 4096];
+        while let Ok(count) = read.read(&mut bytes).await
+            && count > 0
+        {
+            let hex: String = bytes[..count]
+                .iter()
+                .map(|byte| format!("{byte:02x}"))
+                .collect();
+            let _ = heard.send(hex);
+        }
+        let _ = heard.send("closed".to_string());
+    });
+    while let Some(words) = role.say.recv().await {
+        let digits: Vec<u8> = words.bytes().filter(u8::is_ascii_hexdigit).collect();
+        let pairs = digits
+            .chunks(2)
+            .map(|pair| std::str::from_utf8(pair).expect("ASCII"));
+        let bytes: Vec<u8> = pairs
+            .map(|pair| u8::from_str_radix(pair, 16).expect("hex"))
+            .collect();
+        if write.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -0,0 +1,74 @@
+//! What only one wire has: starts, cancels, what is malformed.
+
+use crate::stage::Stage;
+
+#[test]
+fn an_empty_query_is_answered_at_the_start_of_a_session() {
+    Stage::new(&["e1"]).play("c1 send empty\nc1 expect empty");
+}
+
+#[test]
+fn encryption_is_declined_and_the_session_goes_on() {
+    Stage::new(&["e1"]).play(
+        "tcp send 00000008 04d2162f
+         tcp expect 4e
+         tcp send 0000000c 00030000 00000000
+         tcp expect 52",
+    );
+}
+
+#[test]
+fn malformed_input_ends_its_connection_and_no_other() {
+    Stage::new(&["e1"]).play(
+        "tcp send ffffffff 04d2162f
+         tcp expect closed
+         c1 send text SELECT 1
+         c1 expect error 42601
+         c1 send parse
+         c1 expect error 0A000
+         c1 send empty
+         c1 expect empty",
+    );
+}
+
+#[test]
+fn a_cancel_request_on_its_own_connection_calls_the_query_off() {
+    Stage::new(&["e1"]).play(
+        "c1 send empty
+         c1 expect empty
+         c1 send report 1
+         e1 expect fetch 1
+         c1 send cancel
+         e1 expect abort 1
+         c1 expect error 57014
+         c1 send empty
+         c1 expect empty",
+    );
+}
+
+#[test]
+fn an_engine_that_answers_nonsense_is_cut_off_and_its_attempt_may_have_run() {
+    Stage::new(&["e1"]).play(
+        "c1 send journal-load 1
+         e1 expect fetch 1
+         e1 send 1 raw *9999999\\r\\n
+         c1 expect error 58000",
+    );
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    // The module may send the load again, and refuses it, which is harmless, once it gives it up.
+    Stage::new(&["e1"]).play(
+        "c1 send lookup 1
+         e1 expect fetch 1
+         e1 send 1 OK 1 a|b|c
+         c1 expect row a|b|c
+         c1 expect complete 1
+         e1 send deaf
+         e1 send close
+         app wait closed by the engine
+         c1 send journal-load 2 700
+         c1 expect error 53300",
+    );
+}
