--- a/dispatcher/src/broker/mod.rs
+++ b/dispatcher/src/broker/mod.rs
@@ -6,6 +6,8 @@
 mod admin;
 mod answer;
 mod requests;
+#[cfg(test)]
+mod tests;
 
 pub use admin::{Asked, Denied};
 pub use answer::{Answer, Broken, Delivery, Failure, Pending};
--- /dev/null
+++ b/dispatcher/src/broker/tests.rs
@@ -0,0 +1,343 @@
+//! The broker beside the simulator's adapter: for everything that can happen, the one event that follows.
+
+use super::*;
+use crate::config::Known as KnownList;
+use crate::engine::Page;
+use std::time::Duration;
+
+const ID: RequestId = RequestId(7);
+const ENGINE: EngineId = EngineId(1);
+const FIRST: AttemptNo = AttemptNo(0);
+
+struct Bench {
+    broker: Broker,
+    sent: mpsc::Receiver<ToEngine>,
+    answer: oneshot::Receiver<Answer>,
+}
+
+fn config() -> Config {
+    let facts = r#"{"balancers": 1, "tick": 5, "domain": {"tells_cost": true}, "tenants": [{"name": "acme"}],
+        "limits": {"cancel": true, "max_attempts": 3}, "services": [{"name": "load", "give_up": 9000}]}"#;
+    let facts: sedgebeam_settings::Facts = miniserde::json::from_str(facts).expect("settings");
+    Config {
+        name: String::new(),
+        listen: ([127, 0, 0, 1], 0).into(),
+        flight: None,
+        admin: None,
+        changelog: None,
+        known: KnownList::default(),
+        seed: 1,
+        sockets: 64,
+        settings: facts.settings(),
+        names: facts.names(),
+        connections: facts.connections(),
+    }
+}
+
+/// A broker that has taken one request and knows one engine.
+fn bench() -> Bench {
+    let (mut broker, _, _) = new(&config(), Clock::start());
+    let (mailbox, sent) = mpsc::channel(16);
+    let known = Known {
+        target: <Target as Default>::default(),
+        mailbox,
+        ready: true,
+    };
+    broker.engines.insert(ENGINE, known);
+    let (reply, answer) = oneshot::channel();
+    broker.submit(request(), reply);
+    broker.events.clear();
+    Bench {
+        broker,
+        sent,
+        answer,
+    }
+}
+
+fn request() -> NewRequest {
+    NewRequest {
+        id: ID,
+        class: ClassId(0),
+        tenant: Some("acme".to_string()),
+        deadline: Instant::now() + Duration::from_secs(9),
+        work: Micros(0),
+        memory_mb: 0.0,
+        group: GroupId(0),
+        statement: Bytes::from_static(b"INSERT"),
+        session: Some(SessionKey(3)),
+    }
+}
+
+fn ok() -> End {
+    let page = Page {
+        rows: Bytes::new(),
+        last: true,
+    };
+    End::Ok {
+        page,
+        work: Some(Micros(5)),
+        load: None,
+    }
+}
+
+impl Bench {
+    fn send(&mut self) {
+        self.broker.send(ID, ENGINE, Micros(0), Instant::now());
+    }
+
+    fn end(&mut self, end: End) {
+        self.broker.ended(ENGINE, ID, FIRST, end);
+    }
+
+    /// The outcomes that the gateway will be told: of which attempt, how, and whether that is the end.
+    fn outcomes(&mut self) -> Vec<(u32, Outcome, bool)> {
+        let ended = std::mem::take(&mut self.broker.events).into_iter();
+        let ended = ended.filter_map(|event| match event {
+            Event::Ended(ended) => Some((ended.attempt.0, ended.outcome, ended.finished)),
+            _ => None,
+        });
+        ended.collect()
+    }
+
+    fn asked(&mut self) -> Vec<String> {
+        let asked = std::iter::from_fn(|| self.sent.try_recv().ok());
+        let name = |asked: ToEngine| {
+            format!("{asked:?}")
+                .split(['(', ' '])
+                .next()
+                .unwrap_or("")
+                .to_string()
+        };
+        asked.map(name).collect()
+    }
+}
+
+/// Runs a test inside a runtime.
+fn inside(test: impl FnOnce()) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(async { test() });
+}
+
+#[test]
+fn each_end_of_an_attempt_is_one_outcome() {
+    let cases = [
+        (ok(), Outcome::Ok, true),
+        (End::Busy, Outcome::Full, false),
+        (End::Error, Outcome::Error, false),
+        (End::Void, Outcome::Moot, false),
+        (End::ConnectFailed, Outcome::ConnectFailed, false),
+        (End::Reset, Outcome::Reset, false),
+    ];
+    inside(|| {
+        for (end, outcome, finished) in cases {
+            let mut bench = bench();
+            bench.send();
+            bench.end(end.clone());
+            assert_eq!(bench.outcomes(), [(0, outcome, finished)]);
+            // Whatever else comes of it is no second outcome.
+            bench.end(end);
+            bench.broker.timed_out(ID, FIRST, Instant::now());
+            bench.broker.call_off(ID, FIRST, Instant::now());
+            assert_eq!(bench.outcomes(), []);
+            assert_eq!(bench.answer.try_recv().is_ok(), finished);
+        }
+    });
+}
+
+#[test]
+fn what_is_called_off_or_times_out_is_aborted_once_and_a_late_end_is_dropped() {
+    type Deed = fn(&mut Broker, RequestId, AttemptNo, Instant);
+    let cases: [(Deed, Outcome); 2] = [
+        (Broker::call_off, Outcome::Cancelled),
+        (Broker::timed_out, Outcome::TimedOut),
+    ];
+    inside(|| {
+        for (deed, outcome) in cases {
+            let mut bench = bench();
+            bench.send();
+            deed(&mut bench.broker, ID, FIRST, Instant::now());
+            deed(&mut bench.broker, ID, FIRST, Instant::now());
+            bench.end(ok());
+            // The request still owes its answer, and the late result did not reach the client.
+            assert_eq!(bench.outcomes(), [(0, outcome, false)]);
+            assert_eq!(bench.asked(), ["Send", "Abort"]);
+            assert!(bench.answer.try_recv().is_err());
+        }
+    });
+}
+
+#[test]
+fn a_send_that_can_not_be_is_moot_and_counts_as_an_attempt() {
+    inside(|| {
+        let mut twice = bench();
+        twice.send();
+        twice.send();
+        assert_eq!(
+            twice.outcomes(),
+            [(1, Outcome::Moot, false)],
+            "one is out already"
+        );
+
+        let mut spent = bench();
+        for _ in 0..4 {
+            spent.send();
+            spent.broker.ended(
+                ENGINE,
+                ID,
+                AttemptNo(spent.broker.open[&ID].attempts.len() as u32 - 1),
+                End::Busy,
+            );
+        }
+        let full = |number| (number, Outcome::Full, false);
+        assert_eq!(
+            spent.outcomes(),
+            [full(0), full(1), full(2), (3, Outcome::Moot, false)]
+        );
+
+        let mut over = bench();
+        over.broker.client_left(ID, Failure::Cancelled);
+        over.send();
+        assert_eq!(over.outcomes(), [(0, Outcome::Moot, true)]);
+        assert!(over.asked().is_empty());
+
+        let mut late = bench();
+        late.broker.send(
+            ID,
+            ENGINE,
+            Micros(0),
+            Instant::now() + Duration::from_secs(10),
+        );
+        assert_eq!(late.outcomes(), [(0, Outcome::Moot, false)]);
+    });
+}
+
+#[test]
+fn an_engine_that_drains_or_is_gone_gets_nothing_new() {
+    inside(|| {
+        let mut draining = bench();
+        draining
+            .broker
+            .engines
+            .get_mut(&ENGINE)
+            .expect("known")
+            .ready = false;
+        let mut gone = bench();
+        gone.broker.forget(ENGINE);
+        for mut bench in [draining, gone] {
+            bench.asked();
+            bench.send();
+            assert_eq!(bench.outcomes(), [(0, Outcome::ConnectFailed, false)]);
+            assert!(bench.asked().is_empty());
+        }
+    });
+}
+
+#[test]
+fn a_client_that_leaves_is_told_of_once_and_its_attempt_still_ends() {
+    inside(|| {
+        let mut bench = bench();
+        bench.send();
+        bench.broker.take(ToBroker::Cancel(SessionKey(3)));
+        bench.broker.take(ToBroker::ClientLeft(ID));
+        let left = bench
+            .broker
+            .events
+            .iter()
+            .filter(|event| matches!(event, Event::ClientLeft(_)));
+        assert_eq!(left.count(), 1);
+        bench.end(ok());
+        assert_eq!(bench.outcomes(), [(0, Outcome::Ok, true)]);
+        let answer = bench.answer.try_recv().expect("an answer");
+        assert!(matches!(answer, Answer::Failed(Failure::Cancelled)));
+    });
+}
+
+#[test]
+fn an_answer_is_given_once_and_an_overdue_one_is_given_here() {
+    inside(|| {
+        let mut bench = bench();
+        bench.broker.overdue(ID);
+        bench.broker.conclude(
+            ID,
+            Answer::Refused {
+                retry_after: Duration::ZERO,
+            },
+        );
+        let answer = bench.answer.try_recv().expect("an answer");
+        assert!(matches!(answer, Answer::Failed(Failure::Unanswered)));
+        bench.broker.batch(Instant::now());
+        assert!(
+            bench.broker.open.is_empty(),
+            "what is over is forgotten once the gateway knows"
+        );
+    });
+}
+
+#[test]
+fn a_request_whose_name_is_open_gets_an_error_and_does_not_reach_the_gateway() {
+    inside(|| {
+        let mut bench = bench();
+        let (reply, mut second) = oneshot::channel();
+        bench.broker.submit(request(), reply);
+        let answer = second.try_recv().expect("an answer");
+        assert!(matches!(answer, Answer::Failed(Failure::Duplicate)));
+        assert!(bench.broker.events.is_empty());
+        assert!(
+            bench.answer.try_recv().is_err(),
+            "the first one is still under way"
+        );
+    });
+}
+
+#[test]
+fn batches_are_a_tick_apart_and_tell_the_time_that_is_left() {
+    inside(|| {
+        let mut bench = bench();
+        let now = Instant::now();
+        assert_eq!(bench.broker.next_batch(now), now);
+        bench.broker.batch(now);
+        assert_eq!(bench.broker.next_batch(now), now + Duration::from_millis(5));
+        // A time-out is cut to the client's deadline, and the engine is told as much.
+        bench
+            .broker
+            .send(ID, ENGINE, Micros::from_millis(60_000), now);
+        let Ok(ToEngine::Send(attempt)) = bench.sent.try_recv() else {
+            panic!("no send")
+        };
+        assert!(attempt.timeout <= Duration::from_secs(9));
+        assert_eq!(attempt.rank, 1);
+    });
+}
+
+#[test]
+fn a_new_priority_goes_to_what_is_out() {
+    inside(|| {
+        let mut bench = bench();
+        bench.send();
+        bench.broker.terms(ID, 1);
+        bench.broker.terms(ID, 3);
+        assert_eq!(bench.asked(), ["Send", "Renice"]);
+    });
+}
+
+#[test]
+fn what_is_out_at_an_actor_that_died_may_have_run() {
+    inside(|| {
+        let mut bench = bench();
+        bench.send();
+        bench.broker.take(ToBroker::EngineDied(ENGINE));
+        assert_eq!(bench.outcomes(), [(0, Outcome::Reset, false)]);
+    });
+}
+
+#[test]
+fn engines_are_numbered_by_their_names() {
+    inside(|| {
+        let broker = bench().broker;
+        assert_eq!(broker.identify("s-00c41f7a"), EngineId(0x00c4_1f7a));
+        // A number that is taken goes to no second engine.
+        assert_eq!(broker.identify("s-00000001"), EngineId(2));
+    });
+}
--- a/dispatcher/src/engine/resp/codec.rs
+++ b/dispatcher/src/engine/resp/codec.rs
@@ -267,3 +267,112 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn decode(text: &str) -> io::Result<Option<Reply>> {
+        Resp.decode(&mut BytesMut::from(text))
+    }
+
+    fn array(parts: &[&str]) -> String {
+        let parts = parts
+            .iter()
+            .map(|part| format!("${}\r\n{part}\r\n", part.len()));
+        format!("*{}\r\n{}", parts.len(), parts.collect::<String>())
+    }
+
+    #[test]
+    fn each_answer_becomes_its_word() {
+        let rows = Bytes::from_static(b"a\tb\tc\n");
+        let busy = Load {
+            busy: Some(0.5),
+            ..Load::default()
+        };
+        let ok = Word::Ok {
+            parts: 3,
+            work: Some(81.5),
+            load: Some(busy),
+            rows: rows.clone(),
+        };
+        let cases = [
+            (
+                [
+                    "OK",
+                    "parts=3,work=81.5,peak=9,gauges=util:0.5",
+                    "a\tb\tc\n",
+                ],
+                ok,
+            ),
+            (["BUSY", "-", ""], Word::Busy),
+            (["ERR", "-", ""], Word::Err),
+            (["VOID", "-", ""], Word::Void),
+            (
+                ["NOTE", "res=p,value=0.25", ""],
+                Word::Note(Some(Note::Progress(0.25))),
+            ),
+            (
+                ["NOTE", "res=s,value=64", ""],
+                Word::Note(Some(Note::Spills(64.0))),
+            ),
+            (
+                ["NOTE", "res=w,value=1", ""],
+                Word::Note(Some(Note::WaitsForMemory)),
+            ),
+            (
+                ["NOTE", "res=w,value=2", ""],
+                Word::Note(Some(Note::WaitsForLoad)),
+            ),
+            (["NOTE", "-", ""], Word::Note(None)),
+            (
+                ["ROWS", "part_no=2", "a\tb\tc\n"],
+                Word::Rows { page: 2, rows },
+            ),
+        ];
+        for ([word, fields, body], expected) in cases {
+            let text = array(&["00000000000000ff", word, fields, body]);
+            let reply = decode(&text).expect("is read").expect("is whole");
+            assert_eq!(
+                reply,
+                Reply {
+                    about: About::Request(RequestId(255)),
+                    word: expected
+                }
+            );
+            // However it is cut, it is not read before it is whole.
+            for length in 0..text.len() {
+                assert_eq!(decode(&text[..length]).expect("is no error"), None);
+            }
+        }
+        let up = decode(&array(&["p7", "UP", "gauges=cpu:0.5", ""])).expect("is read");
+        assert_eq!(
+            up,
+            Some(Reply {
+                about: About::Tag(7),
+                word: Word::Up(Some(busy))
+            })
+        );
+    }
+
+    #[test]
+    fn what_is_malformed_is_an_error_and_never_a_wait_without_end() {
+        let endless = "9".repeat(40);
+        for text in [
+            "+OK\r\n",
+            "*x\r\n",
+            "*-1\r\n",
+            "*99\r\n",
+            "*1\r\n:3\r\n",
+            "*2\r\n$2\r\nab__",
+            "*2\r\n$999999999\r\n",
+            "*0\r\n",
+            &endless,
+            &array(&["zz", "OK", "-", ""]),
+            &array(&["ff", "WHAT", "-", ""]),
+            &array(&["ff", "ROWS", "-", ""]),
+        ] {
+            assert!(decode(text).is_err(), "{text:?}");
+        }
+    }
+}
--- a/dispatcher/src/front/pg/codec.rs
+++ b/dispatcher/src/front/pg/codec.rs
@@ -233,3 +233,68 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn decode(started: bool, bytes: &[u8]) -> io::Result<Option<Said>> {
+        Pg { started }.decode(&mut BytesMut::from(bytes))
+    }
+
+    #[test]
+    fn the_first_query_may_come_with_the_start() {
+        let mut codec = Pg::default();
+        let mut bytes = BytesMut::from(&b"\0\0\0\x09\0\x03\0\0\0Q\0\0\0\x06;\0"[..]);
+        assert_eq!(
+            codec.decode(&mut bytes).expect("is read"),
+            Some(Said::Startup)
+        );
+        let query = Said::Query(Bytes::from_static(b";"));
+        assert_eq!(codec.decode(&mut bytes).expect("is read"), Some(query));
+    }
+
+    #[test]
+    fn what_is_malformed_is_an_error_and_never_a_wait_without_end() {
+        for (started, bytes) in [
+            (false, &b"\0\0\0\x03"[..]),
+            (false, b"\x7f\0\0\0"),
+            (false, b"\0\0\0\x06\0\x03"),
+            (false, b"\0\0\0\x08\0\x02\0\0"),
+            (false, b"\0\0\0\x08\x04\xd2\x16\x2e"),
+            (true, b"Q\0\0\0\0"),
+            (true, b"Q\x7f\xff\xff\xff"),
+            (true, b"Q\0\0\0\x05x"),
+        ] {
+            assert!(decode(started, bytes).is_err(), "{bytes:?}");
+        }
+        assert_eq!(decode(true, b"Q\0\0").expect("is no error"), None);
+    }
+
+    #[test]
+    fn rows_have_three_columns_whatever_a_line_holds() {
+        let page = |rows: &'static [u8]| Page {
+            rows: Bytes::from_static(rows),
+            last: true,
+        };
+        for (rows, count) in [
+            (&b""[..], 0),
+            (b"a\tb\tc\n", 1),
+            (b"a\n\n", 2),
+            (b"a\tb\tc\td\ncut", 1),
+        ] {
+            let mut bytes = BytesMut::new();
+            Pg::default()
+                .encode(Say::Rows(page(rows)), &mut bytes)
+                .expect("encodes");
+            let mut found = 0;
+            while !bytes.is_empty() {
+                assert_eq!(&bytes[5..7], &[0, 3]);
+                let length = u32::from_be_bytes([bytes[1], bytes[2], bytes[3], bytes[4]]);
+                bytes.advance(1 + length as usize);
+                found += 1;
+            }
+            assert_eq!(found, count, "{rows:?}");
+        }
+    }
+}
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -244,3 +244,75 @@
         Ok(None)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::BytesMut;
+
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const DATA: &str = r#"{"seq":41,"fleet":{"rev":7,"all":false,"targets":[{"uid":"s-00c41f7a","endpoint":"127.1.0.9:10080","az":"east","model":"std","pod_group":2,"state":"up","capacity_hint":4,"boot_ms":0}]}}"#;
+
+    /// The numbers of the events in the text, which comes in pieces of so many bytes.
+    fn heard(text: &str, piece: usize) -> io::Result<Vec<u64>> {
+        let (mut events, mut bytes, mut seqs) = (Events::default(), BytesMut::new(), Vec::new());
+        for part in text.as_bytes().chunks(piece) {
+            bytes.extend_from_slice(part);
+            while let Some(event) = events.decode(&mut bytes)? {
+                seqs.extend(event.map(|change| change.seq));
+            }
+        }
+        Ok(seqs)
+    }
+
+    #[test]
+    fn events_are_read_however_they_are_cut() {
+        let body = format!(": hello\nid: 41\ndata: {DATA}\n\n:\n\nid: 41\r\ndata: {DATA}\r\n\r\n");
+        let plain = format!("{HEAD}\r\n{body}");
+        let mut chunked = format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n");
+        for part in body.as_bytes().chunks(50) {
+            let part = std::str::from_utf8(part).expect("ASCII");
+            chunked.push_str(&format!("{:x}\r\n{part}\r\n", part.len()));
+        }
+        for text in [plain, chunked] {
+            for piece in [1, 7, 4096] {
+                assert_eq!(heard(&text, piece).expect("is read"), [41, 41]);
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_not_the_change_log_ends_the_connection() {
+        for text in [
+            "HTTP/1.1 404 Not Found\r\n\r\n".to_string(),
+            "no HTTP at all\r\n\r\n".to_string(),
+            format!("{HEAD}\r\ndata: not JSON\n\n"),
+            format!("{HEAD}Transfer-Encoding: chunked\r\n\r\nxyz\r\n"),
+            format!("{HEAD}\r\n{}", "x".repeat(MOST_LINE + 1)),
+        ] {
+            assert!(heard(&text, 4096).is_err(), "{:.60}", text);
+        }
+    }
+
+    #[test]
+    fn the_list_at_the_start_is_what_the_changes_leave() {
+        let target = |uid: &str, state: &str| Target {
+            uid: uid.to_string(),
+            state: state.to_string(),
+            ..<Target as Default>::default()
+        };
+        let change = |all, targets| Change {
+            seq: 0,
+            fleet: Fleet { all, targets },
+        };
+        let list = fold(vec![
+            change(Some(true), vec![target("old", "up")]),
+            change(Some(true), vec![target("a", "up"), target("b", "up")]),
+            change(
+                Some(false),
+                vec![target("a", "draining"), target("b", "removed")],
+            ),
+        ]);
+        assert_eq!(list, [target("a", "draining")]);
+    }
+}
