Bound Flight SQL clients and results, and share a Flight connection while it comes up

Seen: a burst of attempts opened a connection each, since a lane counted only once it was up (engine/ flight.rs, Actor::lane); they now wait on one. A load on a broken connection that could not be made anew was taken for one that may have run, though tonic says it never connected; it may be sent again. A result that its client does not take by its deadline is let go and ends in an error. Extended queries get one error up to their Sync.

--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -11,7 +11,8 @@
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
 use arrow_flight::{Action, CancelFlightInfoRequest, FlightDescriptor, FlightInfo, Ticket};
-use futures::{StreamExt, TryStreamExt};
+use futures::future::{BoxFuture, Shared};
+use futures::{FutureExt, StreamExt, TryStreamExt};
 use prost::Message;
 use sedgebeam_core::{AttemptNo, Load, Micros, Note, RequestId};
 use sedgebeam_settings::Connections;
@@ -45,9 +46,12 @@
 
 type Client = FlightServiceClient<Channel>;
 
+/// A connection on its way up, for all attempts that wait for it; `None` where it can't be had.
+type Opening = Shared<BoxFuture<'static, Option<Channel>>>;
+
 /// A connection, and how many attempts it carries.
 struct Lane {
-    channel: Channel,
+    opening: Opening,
     out: usize,
     used: Instant,
 }
@@ -60,16 +64,19 @@
     kept: oneshot::Sender<()>,
 }
 
-enum Came {
-    Up(u64, Channel),
-    Over(RequestId, AttemptNo, u64),
+/// An attempt is over, and whether its connection is too.
+struct Over {
+    id: RequestId,
+    number: AttemptNo,
+    lane: u64,
+    broken: bool,
 }
 
 struct Actor {
     endpoint: String,
     settings: Connections,
     reports: Reports,
-    came: mpsc::Sender<Came>,
+    over: mpsc::Sender<Over>,
     lanes: HashMap<u64, Lane>,
     next_lane: u64,
     running: HashMap<RequestId, Running>,
@@ -82,12 +89,12 @@
     mut mailbox: mpsc::Receiver<ToEngine>,
     reports: Reports,
 ) {
-    let (came, mut incoming) = mpsc::channel(EVENTS);
+    let (over, mut incoming) = mpsc::channel(EVENTS);
     let mut actor = Actor {
         endpoint,
         settings,
         reports,
-        came,
+        over,
         lanes: HashMap::new(),
         next_lane: 0,
         running: HashMap::new(),
@@ -98,7 +105,7 @@
                 Some(message) => actor.take(message).await,
                 None => return,
             },
-            Some(came) = incoming.recv() => actor.came(came),
+            Some(over) = incoming.recv() => actor.over(over),
         }
     }
 }
@@ -120,35 +127,44 @@
                     log::debug!("{}: a page was asked for twice", self.endpoint);
                 }
             }
-            // An attempt is written as soon as it is sent, or its connection refused in a moment.
-            ToEngine::NothingNew => self.close_idle(),
+            ToEngine::NothingNew => self.nothing_new().await,
         }
     }
 
-    fn came(&mut self, came: Came) {
-        match came {
-            Came::Up(number, channel) => {
-                let lane = Lane {
-                    channel,
-                    out: 0,
-                    used: Instant::now(),
-                };
-                self.lanes.entry(number).or_insert(lane).out += 1;
-            }
-            Came::Over(id, number, lane) => {
-                if let Some(lane) = self.lanes.get_mut(&lane) {
-                    lane.out = lane.out.saturating_sub(1);
-                    lane.used = Instant::now();
-                }
-                if self
-                    .running
-                    .get(&id)
-                    .is_some_and(|running| running.number == number)
-                {
-                    self.running.remove(&id);
-                }
-                self.close_idle();
-            }
+    fn over(&mut self, over: Over) {
+        if let Some(lane) = self.lanes.get_mut(&over.lane) {
+            lane.out = lane.out.saturating_sub(1);
+            lane.used = Instant::now();
+        }
+        if over.broken {
+            self.lanes.remove(&over.lane);
+        }
+        if self.is_running(over.id, over.number) {
+            self.running.remove(&over.id);
+        }
+        self.close_idle();
+    }
+
+    fn is_running(&self, id: RequestId, number: AttemptNo) -> bool {
+        let running = self.running.get(&id);
+        running.is_some_and(|running| running.number == number)
+    }
+
+    /// What waits for a connection to come up has not been written and is taken back.
+    async fn nothing_new(&mut self) {
+        let lanes = &self.lanes;
+        let opening = |lane: u64| {
+            lanes
+                .get(&lane)
+                .is_some_and(|lane| lane.opening.peek().is_none())
+        };
+        let waiting = self.running.extract_if(|_, running| opening(running.lane));
+        let waiting: Vec<(RequestId, Running)> = waiting.collect();
+        for (id, running) in waiting {
+            drop(running.kept);
+            self.reports
+                .ended(id, running.number, End::ConnectFailed)
+                .await;
         }
     }
 
@@ -159,65 +175,76 @@
             .retain(|_, lane| lane.out > 0 || now < lane.used + idle);
     }
 
-    /// The fullest lane with room; without one, the number of a new one.
-    fn lane(&mut self) -> Option<(u64, Option<Channel>)> {
+    /// The fullest lane with room, or a new one.
+    fn lane(&mut self) -> Option<(u64, Opening)> {
         let most = self.settings.max_streams;
         let fit = self.lanes.iter_mut().filter(|(_, lane)| lane.out < most);
         if let Some((number, lane)) = fit.max_by_key(|(number, lane)| (lane.out, **number)) {
             lane.out += 1;
-            return Some((*number, Some(lane.channel.clone())));
+            return Some((*number, lane.opening.clone()));
+        }
+        if self.lanes.len() >= MOST_LANES {
+            return None;
         }
         self.next_lane += 1;
-        (self.lanes.len() < MOST_LANES).then_some((self.next_lane, None))
+        let limit = duration(self.settings.connect_timeout);
+        let opening = open(self.endpoint.clone(), limit).boxed().shared();
+        let lane = Lane {
+            opening: opening.clone(),
+            out: 1,
+            used: Instant::now(),
+        };
+        self.lanes.insert(self.next_lane, lane);
+        Some((self.next_lane, opening))
     }
 
     async fn send(&mut self, attempt: Attempt) {
         let (id, number) = (attempt.request, attempt.number);
-        let Some((lane, channel)) = self.lane() else {
+        let Some((lane, opening)) = self.lane() else {
             self.reports.ended(id, number, End::ConnectFailed).await;
             return;
         };
         let (pages, asked) = mpsc::channel(MAILBOX);
         let (kept, dropped) = oneshot::channel();
-        self.running.insert(
-            id,
-            Running {
-                number,
-                lane,
-                pages,
-                kept,
-            },
-        );
+        let running = Running {
+            number,
+            lane,
+            pages,
+            kept,
+        };
+        self.running.insert(id, running);
         let task = Task {
             attempt,
             endpoint: self.endpoint.clone(),
-            connect_timeout: duration(self.settings.connect_timeout),
             reports: self.reports.clone(),
         };
-        let (came, up) = (self.came.clone(), self.came.clone());
-        let (reports, over) = (self.reports.clone(), self.came.clone());
+        let (over, died) = (self.over.clone(), self.over.clone());
+        let reports = self.reports.clone();
+        let word = move |broken| Over {
+            id,
+            number,
+            lane,
+            broken,
+        };
         let run = async move {
-            tokio::select! {
+            let broken = tokio::select! {
                 biased;
-                _ = dropped => {}
-                () = task.run(lane, channel, up, asked) => {}
-            }
+                _ = dropped => false,
+                broken = task.run(opening, asked) => broken,
+            };
             // An actor that is gone counts no more.
-            let _ = came.send(Came::Over(id, number, lane)).await;
+            let _ = over.send(word(broken)).await;
         };
         crate::supervise::watch(format!("attempt at {}", self.endpoint), run, move || {
             tokio::spawn(async move {
                 reports.ended(id, number, End::Reset).await;
-                let _ = over.send(Came::Over(id, number, lane)).await;
+                let _ = died.send(word(true)).await;
             });
         });
     }
 
     fn give_up(&mut self, id: RequestId, number: AttemptNo) {
-        if self
-            .running
-            .get(&id)
-            .is_some_and(|running| running.number == number)
+        if self.is_running(id, number)
             && let Some(running) = self.running.remove(&id)
         {
             drop(running.kept);
@@ -230,7 +257,7 @@
             .get(&id)
             .filter(|running| running.number == number);
         let lane = running.and_then(|running| self.lanes.get(&running.lane));
-        let Some(channel) = lane.map(|lane| lane.channel.clone()) else {
+        let Some(channel) = lane.and_then(|lane| lane.opening.peek().cloned().flatten()) else {
             return;
         };
         let action = Action::new(RENICE, format!("{:016x} {rank}", id.0));
@@ -241,15 +268,20 @@
     }
 
     fn probe(&mut self) {
-        let channel = self.lanes.values().next().map(|lane| lane.channel.clone());
+        let mut up = self
+            .lanes
+            .values()
+            .filter_map(|lane| lane.opening.peek().cloned().flatten());
+        let channel = up.next();
+        drop(up);
         let (endpoint, reports) = (self.endpoint.clone(), self.reports.clone());
         let limit = duration(self.settings.connect_timeout);
         tokio::spawn(async move {
             let probe = match channel {
                 Some(channel) => stats(channel, limit).await,
-                None => match connect(&endpoint, limit).await {
-                    Ok(channel) => stats(channel, limit).await,
-                    Err(_) => Probe::ConnectFailed,
+                None => match open(endpoint, limit).await {
+                    Some(channel) => stats(channel, limit).await,
+                    None => Probe::ConnectFailed,
                 },
             };
             reports.tell(Report::Probed(probe)).await;
@@ -269,6 +301,13 @@
     endpoint.connect().await
 }
 
+async fn open(endpoint: String, limit: Duration) -> Option<Channel> {
+    let opened = connect(&endpoint, limit).await;
+    opened
+        .inspect_err(|error| log::info!("connecting to {endpoint}: {error}"))
+        .ok()
+}
+
 async fn stats(channel: Channel, limit: Duration) -> Probe {
     let asked = async {
         let mut results = client(channel).do_action(Action::new(STATS, "")).await?;
@@ -298,6 +337,8 @@
 fn end(status: &Status) -> End {
     let not_run = status.metadata().contains_key(NOT_RUN);
     match status.code() {
+        // The connection had broken before, and no new one could be made.
+        Code::Unavailable if never_connected(status) => End::ConnectFailed,
         Code::ResourceExhausted if not_run => End::Busy,
         _ if not_run => End::Void,
         Code::Unavailable => End::Reset,
@@ -305,41 +346,38 @@
     }
 }
 
+fn never_connected(status: &Status) -> bool {
+    let first = std::error::Error::source(status);
+    let mut causes = std::iter::successors(first, |cause| cause.source());
+    causes.any(|cause| cause.is::<tonic::ConnectError>())
+}
+
 /// One attempt, from its connection to its last page.
 struct Task {
     attempt: Attempt,
     endpoint: String,
-    connect_timeout: Duration,
     reports: Reports,
 }
 
 impl Task {
-    async fn run(
-        self,
-        lane: u64,
-        channel: Option<Channel>,
-        up: mpsc::Sender<Came>,
-        asked: mpsc::Receiver<More>,
-    ) {
+    /// Runs the attempt; whether its connection turned out to be broken.
+    async fn run(self, opening: Opening, asked: mpsc::Receiver<More>) -> bool {
         let (id, number) = (self.attempt.request, self.attempt.number);
-        let channel = match channel {
-            Some(channel) => channel,
-            None => match connect(&self.endpoint, self.connect_timeout).await {
-                Ok(channel) => {
-                    let _ = up.send(Came::Up(lane, channel.clone())).await;
-                    channel
-                }
-                Err(error) => {
-                    log::info!("connecting to {}: {error}", self.endpoint);
-                    return self.reports.ended(id, number, End::ConnectFailed).await;
-                }
-            },
+        let Some(channel) = opening.await else {
+            self.reports.ended(id, number, End::ConnectFailed).await;
+            return true;
         };
         match self.result(client(channel)).await {
-            Ok((stream, work)) => self.pages(stream, work, asked).await,
+            Ok((stream, work)) => {
+                self.pages(stream, work, asked).await;
+                false
+            }
             Err(status) => {
                 log::debug!("{}: {status}", self.endpoint);
-                self.reports.ended(id, number, end(&status)).await;
+                let end = end(&status);
+                let broken = matches!(end, End::Reset | End::ConnectFailed);
+                self.reports.ended(id, number, end).await;
+                broken
             }
         }
     }
--- a/dispatcher/src/front/flight.rs
+++ b/dispatcher/src/front/flight.rs
@@ -6,6 +6,7 @@
 use super::{Shared, reason, statement};
 use crate::arrow;
 use crate::broker::{self, Answer, Broken, Delivery, Failure, NewRequest};
+use arrow_array::RecordBatch;
 use arrow_flight::encode::FlightDataEncoderBuilder;
 use arrow_flight::error::FlightError;
 use arrow_flight::flight_service_server::{FlightService, FlightServiceServer};
@@ -19,12 +20,13 @@
     FlightEndpoint, FlightInfo, Ticket,
 };
 use bytes::Bytes;
-use futures::stream::{self, TryStreamExt};
+use futures::stream::{self, Stream, TryStreamExt};
 use prost::Message;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tonic::metadata::MetadataMap;
 use tonic::{Code, Request, Response, Status};
@@ -245,27 +247,60 @@
     }
 }
 
-/// The next batch of a result, or why it ends here; an error is the last that a client sees.
-async fn next_batch(
-    (mut delivery, running): (Delivery, Running),
-) -> Result<Option<(arrow_array::RecordBatch, (Delivery, Running))>, FlightError> {
-    let page = tokio::select! {
-        biased;
-        () = running.token.cancelled() => {
-            return Err(FlightError::from(failed(Failure::Cancelled)));
+type Batch = Result<RecordBatch, FlightError>;
+
+/// What a stream ends with that its client has not taken whole in time.
+fn unfinished() -> Status {
+    Status::deadline_exceeded("the result was not taken before its deadline")
+}
+
+/// Passes a result on, page by page as the client takes them, until its deadline. Only a whole result ends
+/// without an error.
+fn pass(delivery: Delivery, running: Running) -> impl Stream<Item = Batch> {
+    let (pages, taken) = mpsc::channel(1);
+    let task = read_pages(delivery, running, pages);
+    crate::supervise::watch("a Flight SQL result".to_string(), task, || {});
+    stream::unfold(Some(taken), |taken| async {
+        let mut taken = taken?;
+        match taken.recv().await {
+            Some(Ok(Some(batch))) => Some((Ok(batch), Some(taken))),
+            Some(Ok(None)) => None,
+            Some(Err(status)) => Some((Err(status.into()), None)),
+            // Its reader gave up waiting for the client.
+            None => Some((Err(unfinished().into()), None)),
         }
-        page = delivery.next() => page,
-    };
-    match page {
-        Ok(Some(page)) => Ok(Some((arrow::batch(&page)?, (delivery, running)))),
-        Ok(None) => Ok(None),
-        Err(Broken) => {
-            let lost = Status::data_loss("the rest of the result was lost with its engine");
-            Err(FlightError::from(lost))
+    })
+}
+
+/// Reads the pages of a result as their batches are taken; `None` stands for its end.
+async fn read_pages(
+    mut delivery: Delivery,
+    running: Running,
+    pages: mpsc::Sender<Result<Option<RecordBatch>, Status>>,
+) {
+    let deadline = delivery.deadline();
+    loop {
+        let next = tokio::select! {
+            biased;
+            () = pages.closed() => return,
+            () = running.token.cancelled() => Err(failed(Failure::Cancelled)),
+            page = delivery.next() => match page {
+                Ok(page) => page.as_ref().map(arrow::batch).transpose(),
+                Err(Broken) => Err(lost()),
+            },
+        };
+        let more = matches!(next, Ok(Some(_)));
+        let sent = timeout_at(deadline, pages.send(next)).await;
+        if !more || !matches!(sent, Ok(Ok(()))) {
+            return;
         }
     }
 }
 
+fn lost() -> Status {
+    Status::data_loss("the rest of the result was lost with its engine")
+}
+
 #[tonic::async_trait]
 impl FlightSqlService for Front {
     type FlightService = Front;
@@ -299,9 +334,8 @@
             held.deadline = held.deadline.min(Instant::now() + limit);
         }
         let delivery = self.answer(held, &running.token).await?;
-        let batches = stream::try_unfold((delivery, running), next_batch);
         let encoder = FlightDataEncoderBuilder::new().with_schema(arrow::schema());
-        let data = encoder.build(batches).map_err(Status::from);
+        let data = encoder.build(pass(delivery, running)).map_err(Status::from);
         Ok(Response::new(Box::pin(data)))
     }
 
@@ -313,9 +347,7 @@
         let held = self.read(update.query, request.metadata())?;
         let mut delivery = self.answer(held, &CancellationToken::new()).await?;
         let mut rows = 0;
-        while let Some(page) = delivery.next().await.map_err(|Broken| {
-            Status::data_loss("the rest of the result was lost with its engine")
-        })? {
+        while let Some(page) = delivery.next().await.map_err(|Broken| lost())? {
             rows += page.rows.iter().filter(|byte| **byte == b'\n').count();
         }
         Ok(rows as i64)
--- /dev/null
+++ b/dispatcher/src/front/incoming.rs
@@ -0,0 +1,79 @@
+//! Connections of Flight SQL clients: so many at once, and each gives its place back when it is dropped.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tonic::transport::server::Connected;
+
+/// A pause after an accept that failed, so that a lack of descriptors does not spin.
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub struct Placed {
+    stream: TcpStream,
+    _place: OwnedSemaphorePermit,
+}
+
+/// The connections of a listener, no more than `most` at once; others wait to be accepted.
+pub fn places(
+    listener: TcpListener,
+    most: usize,
+) -> impl futures::Stream<Item = io::Result<Placed>> {
+    let places = Arc::new(Semaphore::new(most));
+    futures::stream::unfold((listener, places), |(listener, places)| async move {
+        // The semaphore is never closed.
+        let place = places.clone().acquire_owned().await.ok()?;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let placed = stream.set_nodelay(true).map(|()| Placed {
+                        stream,
+                        _place: place,
+                    });
+                    return Some((placed, (listener, places)));
+                }
+                Err(error) => {
+                    log::warn!("accepting Flight SQL clients: {error}");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    })
+}
+
+impl Connected for Placed {
+    type ConnectInfo = ();
+    fn connect_info(&self) {}
+}
+
+impl AsyncRead for Placed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Placed {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/dispatcher/src/front/mod.rs
+++ b/dispatcher/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! What clients speak to: thin fronts that decode a request, call the broker and encode its answer.
 
 pub mod flight;
+pub mod incoming;
 pub mod pg;
 pub mod statement;
 
--- a/dispatcher/src/front/pg/mod.rs
+++ b/dispatcher/src/front/pg/mod.rs
@@ -4,7 +4,7 @@
 
 use super::{Shared, reason, statement};
 use crate::broker::{self, Answer, Delivery, Failure, SessionKey, ToBroker};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use codec::{Error, Pg, Said, Say};
 use futures::{SinkExt, StreamExt};
 use std::io;
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout, timeout_at};
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Encoder, Framed};
 
 /// A connection that has not said what it wants by then is closed.
 const STARTUP: Duration = Duration::from_secs(10);
@@ -38,6 +38,21 @@
     }
 }
 
+/// Refuses a connection for which there is no place; what does not fit its empty buffer is let go.
+pub fn turn_away(stream: &TcpStream) {
+    let told = Error {
+        code: "53300",
+        message: "there are too many sessions; nothing ran".to_string(),
+        hint: Some("try again in 1000 ms".to_string()),
+    };
+    let mut bytes = BytesMut::new();
+    if Pg::default().encode(Say::Error(told), &mut bytes).is_ok()
+        && let Err(error) = stream.try_write(&bytes)
+    {
+        log::debug!("a connection that was turned away: {error}");
+    }
+}
+
 struct Session {
     wire: Wire,
     shared: Shared,
@@ -62,7 +77,11 @@
                 }
                 Said::Terminate => break,
                 Said::Sync => self.wire.send(Say::Ready).await?,
-                said => self.unsupported(&said).await?,
+                said => {
+                    if !self.unsupported(&said).await? {
+                        break;
+                    }
+                }
             }
         }
         Ok(())
@@ -109,15 +128,24 @@
         }
     }
 
-    async fn unsupported(&mut self, said: &Said) -> io::Result<()> {
+    /// Answers a message of the extended protocol: one error, and nothing more up to its Sync.
+    async fn unsupported(&mut self, said: &Said) -> io::Result<bool> {
         let message = format!("only simple queries are served here, not {said:?}");
-        self.wire
-            .send(Say::Error(Error {
-                code: "0A000",
-                message,
-                hint: None,
-            }))
-            .await
+        let told = Error {
+            code: "0A000",
+            message,
+            hint: None,
+        };
+        self.wire.send(Say::Error(told)).await?;
+        loop {
+            match self.listen().await? {
+                Some(Said::Sync) => break,
+                Some(Said::Terminate) | None => return Ok(false),
+                Some(_) => {}
+            }
+        }
+        self.wire.send(Say::Ready).await?;
+        Ok(true)
     }
 
     /// Answers a query; false when the client has gone meanwhile.
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::broker::{self, SessionKey, ToBroker};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::front::{Shared, flight, pg};
+use crate::front::{Shared, flight, incoming, pg};
 use crate::roster::{self, Listing};
 use crate::supervise;
 use std::io;
@@ -14,12 +14,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
-use tokio_stream::wrappers::TcpListenerStream;
 
 /// For so long after SIGTERM connections and requests go on coming, with some to spare.
 const LAST_CALL: Duration = Duration::from_millis(600);
 /// The share of the descriptors that sessions may hold: the platform's clients hold a third.
 const SESSIONS_PART: f64 = 0.55;
+/// Flight SQL clients at once.
+const FLIGHT_CONNECTIONS: usize = 96;
 /// Calls that one Flight SQL client may have under way.
 const FLIGHT_CALLS: usize = 128;
 /// A Flight SQL client that answers no ping for as long again has gone.
@@ -109,11 +110,10 @@
     mut end: watch::Receiver<bool>,
 ) {
     let served = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .concurrency_limit_per_connection(FLIGHT_CALLS)
         .http2_keepalive_interval(Some(FLIGHT_ALIVE))
         .add_service(flight::service(shared, seed))
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+        .serve_with_incoming_shutdown(incoming::places(listener, FLIGHT_CONNECTIONS), async move {
             // A sender that is gone has ended too.
             let _ = end.wait_for(|end| *end).await;
         });
@@ -151,7 +151,11 @@
     fn start(&mut self, stream: TcpStream) {
         // One sender is kept here, and one by each session.
         if self.alive.strong_count() > self.most {
-            log::warn!("more than {} sessions: a connection is closed", self.most);
+            log::warn!(
+                "more than {} sessions: a connection is turned away",
+                self.most
+            );
+            pg::turn_away(&stream);
             return;
         }
         if let Err(error) = stream.set_nodelay(true) {
--- a/dispatcher/tests/scenarios/flight_engine.rs
+++ b/dispatcher/tests/scenarios/flight_engine.rs
@@ -19,7 +19,9 @@
 use sedgebeam::engine::flight::{ABORT, NOT_RUN};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status, Streaming};
@@ -56,21 +58,37 @@
     }
 }
 
+/// A runtime of the engine's own: with it, all its connections end at once.
+struct Machine(Option<Runtime>);
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 pub async fn serve(listener: TcpListener, mut role: Role) {
     let engine = Engine {
         heard: role.heard.clone(),
         said: Arc::default(),
     };
     let service = FlightServiceServer::new(engine.clone());
-    let (close, closed) = tokio::sync::oneshot::channel::<()>();
-    let server = tonic::transport::Server::builder().add_service(service);
-    let incoming = TcpListenerStream::new(listener);
-    let serving = tokio::spawn(async move {
-        tokio::select! {
-            served = server.serve_with_incoming(incoming) => served.expect("serves"),
-            _ = closed => {}
-        }
+    let listener = listener.into_std().expect("a listener");
+    let machine = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    machine.spawn(async move {
+        let listener = TcpListener::from_std(listener).expect("a listener");
+        let server = tonic::transport::Server::builder().add_service(service);
+        server
+            .serve_with_incoming(TcpListenerStream::new(listener))
+            .await
     });
+    let mut machine = Machine(Some(machine));
     while let Some(words) = role.say.recv().await {
         if words == "close" {
             break;
@@ -78,8 +96,11 @@
         let id = words.split(' ').next().unwrap_or_default().to_string();
         let _ = engine.lines(&id).0.send(words);
     }
-    drop(close);
-    serving.await.expect("ends");
+    let gone = machine.0.take().expect("taken only here");
+    // Waits until all that ran on it has ended.
+    let ended = tokio::task::spawn_blocking(|| gone.shutdown_timeout(Duration::from_secs(30)));
+    ended.await.expect("ends");
+    let _ = role.heard.send("closed".to_string());
 }
 
 impl Engine {
--- a/dispatcher/tests/scenarios/pg_client.rs
+++ b/dispatcher/tests/scenarios/pg_client.rs
@@ -72,6 +72,7 @@
 fn said(words: &str) -> Vec<u8> {
     match words {
         "empty" => query(""),
+        "sync" => vec![b'S', 0, 0, 0, 4],
         "parse" => vec![b'P', 0, 0, 0, 4],
         words => match words.strip_prefix("text ") {
             Some(text) => query(text),
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -26,6 +26,8 @@
          c1 expect error 42601
          c1 send parse
          c1 expect error 0A000
+         c1 send parse
+         c1 send sync
          c1 send empty
          c1 expect empty",
     );
@@ -72,3 +74,21 @@
          c1 expect error 53300",
     );
 }
+
+#[test]
+fn a_flight_engine_that_is_gone_never_ran_what_is_sent_to_it() {
+    // Once before any connection, and once on one that has broken since.
+    for first in [
+        "",
+        "c1 send lookup 1\ng1 expect fetch 1\ng1 send 1 OK 1 a|b|c\nc1 expect row\nc1 expect complete",
+    ] {
+        let mut stage = Stage::new(&["g1"]);
+        stage.play(first);
+        stage.play(
+            "g1 close
+             g1 expect closed
+             c1 send journal-load 2 700
+             c1 expect error 53300",
+        );
+    }
+}
