--- a/dispatcher/src/broker/mod.rs
+++ b/dispatcher/src/broker/mod.rs
@@ -211,8 +211,10 @@
             }
         }
         let told = std::mem::take(&mut self.over);
+        events.iter().for_each(|event| log::trace!("{event:?}"));
         let actions = self.gateway.handle(self.clock.micros(now), events);
         for action in actions {
+            log::trace!("{action:?}");
             self.act(action, now);
         }
         for id in told {
@@ -604,6 +606,15 @@
     }
 
     fn know(&mut self, id: EngineId, target: &Target, ready: bool) {
+        let before = self.engines.get(&id).map(|known| &known.target.state);
+        if before != Some(&target.state) {
+            log::info!(
+                "engine {} at {}: {}",
+                target.uid,
+                target.endpoint,
+                target.state
+            );
+        }
         let moved = self
             .engines
             .get(&id)
@@ -627,6 +638,7 @@
     /// An engine is gone from the list; its actor ends once nothing of it is out.
     fn forget(&mut self, id: EngineId) {
         if let Some(known) = self.engines.remove(&id) {
+            log::info!("engine {}: no longer listed", known.target.uid);
             post(&known.mailbox, ToEngine::NothingNew);
         }
     }
--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -416,7 +416,6 @@
         let answer = client.do_get(self.request(ticket(info)?)).await?;
         let work = answer.metadata().get(WORK);
         let work = work.and_then(|work| work.to_str().ok()?.parse::<f64>().ok());
-        let work = work.filter(|work| *work >= 1.0);
         let data = answer.into_inner().map_err(Into::into);
         let stream = FlightRecordBatchStream::new_from_flight_data(data);
         // From here on, dropping the stream tells the engine.
--- a/dispatcher/src/engine/resp/mod.rs
+++ b/dispatcher/src/engine/resp/mod.rs
@@ -275,7 +275,7 @@
                     };
                     self.pages.insert(id, pages);
                 }
-                let work = work.filter(|work| *work >= 1.0);
+                // Whole milliseconds, as the simulator's bill has them.
                 let work = work.map(|work| Micros::from_millis(work as u64));
                 let page = Page { rows, last };
                 self.reports
