Keep a new attempt when a late answer comes on an older connection

Seen: a test of the crossing (actors.rs) waited for ever. Actor::answered in engine/resp/mod.rs removed the attempt that is out before it compared connections, so a late answer to an earlier attempt at the same engine left the new one without an outcome until its time-out. The connections are compared first now.

--- a/dispatcher/src/engine/resp/mod.rs
+++ b/dispatcher/src/engine/resp/mod.rs
@@ -174,13 +174,12 @@
         }
     }
 
-    /// Takes an attempt that has had its answer on this connection.
+    /// Takes an attempt that has had its answer on this connection. A late answer on an older one must
+    /// leave the attempt that is out now alone.
     fn answered(&mut self, connection: Number, id: RequestId) -> Option<Out> {
-        let matches = self
-            .out
-            .get(&id)
-            .is_some_and(|out| out.connection == connection);
-        let out = self.out.remove(&id).filter(|_| matches)?;
+        let out = self.out.get(&id);
+        out.filter(|out| out.connection == connection)?;
+        let out = self.out.remove(&id)?;
         if let Some(connection) = self.connections.get_mut(&connection) {
             connection.ended();
         }
--- a/dispatcher/tests/scenarios/engines.rs
+++ b/dispatcher/tests/scenarios/engines.rs
@@ -26,7 +26,10 @@
             Some((place, words)) = came.recv() => {
                 let id = words.get(1).cloned().unwrap_or_default();
                 let short = id.trim_start_matches('0').to_string();
-                places.insert(short.clone(), place);
+                // What is said of a request goes where it came; of a name never heard, to the first.
+                if matches!(words[0].as_str(), "fetch" | "stats") {
+                    places.insert(short.clone(), place);
+                }
                 let mut told = words;
                 if let Some(id) = told.get_mut(1) {
                     *id = short;
--- a/dispatcher/tests/scenarios/life.rs
+++ b/dispatcher/tests/scenarios/life.rs
@@ -128,3 +128,53 @@
            adm expect 4"#,
     );
 }
+
+/// The engine that has the request, and the other one.
+fn has_it(stage: &mut Stage) -> (String, String) {
+    let (engine, heard) = stage.hear_any(&["e1", "e2"]);
+    assert!(heard.starts_with("fetch 1"), "{heard}");
+    let other = if engine == "e1" { "e2" } else { "e1" };
+    (engine, other.to_string())
+}
+
+#[test]
+fn a_load_whose_engine_dies_fails_and_goes_to_no_other() {
+    let mut stage = Stage::new(&["e1", "e2"]);
+    stage.play("c1 send journal-load 1");
+    let (engine, other) = has_it(&mut stage);
+    stage.play(&format!("{engine} close\nc1 expect error 58000"));
+    assert!(
+        stage.left(&other).is_empty(),
+        "the load went to the other engine"
+    );
+}
+
+#[test]
+fn a_report_whose_engine_dies_goes_to_another() {
+    let mut stage = Stage::new(&["e1", "e2"]);
+    stage.play("c1 send report 1");
+    let (engine, other) = has_it(&mut stage);
+    stage.play(&format!(
+        "{engine} send deaf
+         {engine} close
+         {other} expect fetch 1
+         {other} send 1 OK 1 a|b|c
+         c1 expect row a|b|c
+         c1 expect complete 1"
+    ));
+}
+
+#[test]
+fn a_result_whose_engine_dies_in_the_middle_ends_in_an_error() {
+    for client in ["c1", "f1"] {
+        Stage::new(&["e1"]).play(&format!(
+            "{client} send report 1
+             e1 expect fetch 1
+             e1 send 1 OK 2 a|b|c
+             {client} expect row a|b|c
+             e1 expect more 1 1
+             e1 close
+             {client} expect error"
+        ));
+    }
+}
--- a/dispatcher/tests/scenarios/main.rs
+++ b/dispatcher/tests/scenarios/main.rs
@@ -1,5 +1,6 @@
 //! Scenarios: the program itself, started on ephemeral ports of the loopback, between scripted peers.
 
+mod actors;
 mod command_line;
 mod engines;
 mod flight_client;
