Tell a Flight engine of an end that comes during its first poll

Seen: a_client_that_goes_away_frees_the_engine failed once in a full run: the client left while the answer to the first PollFlightInfo was under way, and Task::info in engine/flight.rs set its guard only behind that answer, so the engine went on.

--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -431,13 +431,16 @@
     ) -> Result<FlightInfo, Status> {
         let missing = || Status::internal("an answer without flight info");
         let (mut next, mut pause) = (descriptor.clone(), FIRST_POLL);
-        let mut guard = Guard(None);
+        // From the first poll on the engine may run it, before any answer tells how to cancel it.
+        let abort = || Action::new(ABORT, format!("{:016x}", self.attempt.request.0));
+        let mut guard = Guard(Some((client.clone(), abort())));
         loop {
             let poll = match client.poll_flight_info(self.request(next)).await {
                 Ok(poll) => poll.into_inner(),
                 Err(status) if status.code() == Code::Unimplemented => {
-                    let info = client.get_flight_info(self.request(descriptor)).await?;
-                    return Ok(info.into_inner());
+                    let info = client.get_flight_info(self.request(descriptor)).await;
+                    guard.0 = None;
+                    return Ok(info?.into_inner());
                 }
                 Err(status) => {
                     guard.0 = None;
@@ -448,7 +451,6 @@
                 guard.0 = None;
                 return poll.info.ok_or_else(missing);
             };
-            let abort = || Action::new(ABORT, format!("{:016x}", self.attempt.request.0));
             let action = poll.info.map_or_else(abort, cancel);
             guard.0 = Some((client.clone(), action));
             let note = Note::Progress(poll.progress.unwrap_or_default().clamp(0.0, 1.0));
