Read the configuration again at SIGHUP and move the change log with its number

Its handler now comes before the configuration is read; reload.rs reads PROXY_CONFIG again through config, keeps the running one with a logged reason when the file is bad, tries it again for two seconds, and hands the address to the roster, which asks the new log from the number it had. Also at fault in roster.rs, listen: an event told twice was taken again where it held the whole list (test fails without), the number was set before the broker had the event, and 2.5 s of silence with pauses up to 1 s left little of the 4 s owed: now 1.8 s and 0.25 s.

--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod front;
 pub mod import;
+pub mod reload;
 pub mod roster;
 pub mod serve;
 mod supervise;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -2,6 +2,7 @@
 
 use lexopt::prelude::*;
 use sedgebeam::config::{self, Environment};
+use sedgebeam::reload::Source;
 use sedgebeam::{import, serve};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -84,20 +85,35 @@
     ExitCode::from(2)
 }
 
-fn serve(file: Option<PathBuf>) -> ExitCode {
-    let config = match config::load(&Environment::read(), file.as_deref()) {
-        Ok(config) => config,
-        Err(wrong) => return refuse(&wrong),
-    };
+fn serve(own: Option<PathBuf>) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let served = runtime.and_then(|runtime| runtime.block_on(serve::run(config)));
-    match served {
+    match runtime {
+        Ok(runtime) => runtime.block_on(start(own)),
+        Err(error) => broken(&error),
+    }
+}
+
+/// Heeds signals first of all, so that none that comes while the configuration is read ends the program.
+async fn start(own: Option<PathBuf>) -> ExitCode {
+    let signals = match serve::Signals::heed() {
+        Ok(signals) => signals,
+        Err(error) => return broken(&error),
+    };
+    let environment = Environment::read();
+    let source = Source { environment, own };
+    let config = match source.load() {
+        Ok(config) => config,
+        Err(wrong) => return refuse(&wrong),
+    };
+    match serve::run(config, source, signals).await {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("sedgebeam: {error}");
-            ExitCode::FAILURE
-        }
+        Err(error) => broken(&error),
     }
 }
+
+fn broken(error: &std::io::Error) -> ExitCode {
+    eprintln!("sedgebeam: {error}");
+    ExitCode::FAILURE
+}
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Decoder, FramedRead};
 
@@ -55,12 +56,12 @@
 /// The longest line that the change log may write: a list of a few thousand engines.
 const MOST_LINE: usize = 1 << 20;
 /// A comment comes each second; after this long without a byte the connection is taken for dead.
-const SILENCE: Duration = Duration::from_millis(2500);
+const SILENCE: Duration = Duration::from_millis(1800);
 /// The length of the line end behind a chunk.
 const CHUNK_END: usize = 2;
 const CONNECT: Duration = Duration::from_millis(1000);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
 /// Folds the changes up to the start into the list that they leave.
 pub fn fold(changes: Vec<Change>) -> Vec<Target> {
@@ -78,14 +79,30 @@
     list
 }
 
-/// Follows the change log for ever.
-pub async fn follow(address: SocketAddr, mut seq: u64, broker: BrokerBox) {
+/// Follows the change log for ever, wherever it is; where it is nowhere, that it is somewhere is waited for.
+pub async fn follow(
+    mut address: watch::Receiver<Option<SocketAddr>>,
+    mut seq: u64,
+    broker: BrokerBox,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
         let before = seq;
-        match listen(address, &mut seq, &broker).await {
-            Ok(()) => log::info!("the change log ended the connection after {seq}"),
-            Err(error) => log::warn!("the change log after {seq}: {error}"),
+        let Some(current) = *address.borrow_and_update() else {
+            moved(&mut address).await;
+            continue;
+        };
+        tokio::select! {
+            biased;
+            // The old log tells nothing more: the new one is asked at once, with the number reached.
+            () = moved(&mut address) => {
+                pause = FIRST_PAUSE;
+                continue;
+            }
+            ended = listen(current, &mut seq, &broker) => match ended {
+                Ok(()) => log::info!("the change log ended the connection after {seq}"),
+                Err(error) => log::warn!("the change log after {seq}: {error}"),
+            },
         }
         if broker.is_closed() {
             return;
@@ -95,7 +112,17 @@
         } else {
             (pause * 2).min(LONGEST_PAUSE)
         };
-        sleep(pause).await;
+        tokio::select! {
+            () = moved(&mut address) => pause = FIRST_PAUSE,
+            () = sleep(pause) => {}
+        }
+    }
+}
+
+/// Waits until the change log is elsewhere; for ever, where nobody can say so any more.
+async fn moved(address: &mut watch::Receiver<Option<SocketAddr>>) {
+    if address.changed().await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
@@ -114,16 +141,16 @@
     // A gap shows on the connection on which it came: what follows is trusted only after a whole list.
     while let Some(event) = timeout(SILENCE, lines.next()).await.map_err(late)? {
         let Some(change) = event? else { continue };
-        let whole = change.fleet.all == Some(true);
-        if !whole && change.seq <= *seq {
+        // An event that is told again is an old state, also where it holds the whole list.
+        if change.seq <= *seq {
             continue;
         }
+        let whole = change.fleet.all == Some(true);
         if !whole && change.seq > *seq + 1 {
             let why = format!("{} follows {seq}: asking for the whole list", change.seq);
             *seq = 0;
             return Err(io::Error::other(why));
         }
-        *seq = change.seq;
         let listing = if whole {
             Listing::Complete
         } else {
@@ -135,6 +162,8 @@
         if told.is_err() {
             return Ok(());
         }
+        // Only now: what is dropped while it waits for the broker has not been told.
+        *seq = change.seq;
     }
     Ok(())
 }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -5,13 +5,14 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::front::{Shared, flight, incoming, pg};
+use crate::reload::{self, Source};
 use crate::roster::{self, Listing};
 use crate::supervise;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -28,19 +29,41 @@
 /// A pause after an accept that failed, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The signals that the program heeds.
+pub struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Heeds them from here on: one that comes before would end the program, whatever it has taken.
+    pub fn heed() -> io::Result<Signals> {
+        Ok(Signals {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
 /// Serves until told to end, and until all that was taken is answered.
-pub async fn run(config: Config) -> io::Result<()> {
+pub async fn run(config: Config, source: Source, signals: Signals) -> io::Result<()> {
     let clock = Clock::start();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let Signals {
+        hangup,
+        mut terminate,
+        mut interrupt,
+    } = signals;
     let (broker, mailbox, incoming) = broker::new(&config, clock);
     supervise::vital("the broker", broker.run(incoming));
     let saved = ToBroker::List(Listing::Saved, roster::fold(config.known.changes.clone()));
     mailbox.send(saved).await.map_err(io::Error::other)?;
-    if let Some(address) = config.changelog {
-        let follow = roster::follow(address, config.known.seq, mailbox.clone());
-        supervise::vital("the change log", follow);
-    }
+    let (changelog, address) = watch::channel(config.changelog);
+    let follow = roster::follow(address, config.known.seq, mailbox.clone());
+    supervise::vital("the change log", follow);
+    let reloading = reload::at_hangup(hangup, source, changelog);
+    supervise::vital("reloading", reloading);
     let shared = Shared {
         broker: mailbox,
         names: Arc::new(config.names.clone()),
--- a/dispatcher/tests/scenarios/life.rs
+++ b/dispatcher/tests/scenarios/life.rs
@@ -61,6 +61,57 @@
     );
 }
 
+#[test]
+fn a_new_configuration_moves_the_change_log_with_the_number_reached() {
+    // Without its handler the signal ends the program, and the request that is under way is lost.
+    Stage::new(&["e1", "log", "log2"]).play(
+        "log expect asked 1
+         log send 2 up e1 @e1
+         c1 send report 1
+         e1 expect fetch 1
+         app send reload log2
+         log2 expect asked 2
+         e1 send 1 OK 1 a|b|c
+         c1 expect row a|b|c
+         c1 expect complete 1
+         log2 send 3 draining e1 @e1
+         log2 close
+         log2 expect asked 3
+         c1 send lookup 2
+         c1 expect error 53300",
+    );
+}
+
+#[test]
+fn a_configuration_that_is_half_written_changes_nothing_until_it_is_whole() {
+    Stage::new(&["e1", "log", "log2"]).play(
+        "log expect asked 1
+         app send half
+         app wait the running configuration is kept
+         log send 2 up e1 @e1
+         log close
+         log expect asked 2
+         app send reload log2
+         log2 expect asked 2
+         app close
+         app expect 0",
+    );
+}
+
+#[test]
+fn an_event_told_again_is_no_news() {
+    // The whole list of long ago must not bring back an engine that drains since.
+    Stage::new(&["e1", "log"]).play(
+        "log expect asked 1
+         log send 2 draining e1 @e1
+         log send 1 whole e1 @e1
+         log close
+         log expect asked 2
+         c1 send lookup 2
+         c1 expect error 53300",
+    );
+}
+
 #[test]
 fn an_engine_drained_by_the_administration_gets_nothing_new_on_either_front() {
     for client in ["c1", "f1"] {
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -4,11 +4,12 @@
 //! hears next begins with the words; `close` ends a peer; `wait` waits for words in the program's log.
 //! What a peer hears is queued for it, so nothing depends on how fast anything is. Peers are made by
 //! their names: `c1` a PostgreSQL client, `f1` a Flight SQL client, `e1` an engine that speaks RESP,
-//! `g1` one that speaks Flight SQL, `adm` the administration, `log` the change log, `tcp` bare bytes; `app` is the program.
+//! `g1` one that speaks Flight SQL, `adm` the administration, `log` the change log, `tcp` bare bytes; `app` is the
+//! program: `send reload LOG` and `send half` replace its file and tell it, `close` ends it in order.
 
 use crate::{engines, flight_client, flight_engine, pg_client};
 use std::collections::HashMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -53,6 +54,8 @@
     addresses: HashMap<&'static str, String>,
     endpoints: HashMap<String, String>,
     folder: PathBuf,
+    /// The platform's file, without the change log and its end.
+    config: String,
 }
 
 const SETTINGS: &str = r#"{"balancers": 1, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
@@ -108,7 +111,8 @@
                 }
                 _ => {
                     runtime.spawn(engines::changelog(listener, role));
-                    changelog = Some(address);
+                    // Others than the first are for a reload.
+                    changelog.get_or_insert(address);
                 }
             }
             endpoints.insert(name.to_string(), endpoint);
@@ -119,15 +123,12 @@
             r#"{{"seq":1,"fleet":{{"rev":1,"all":true,"targets":[{}]}}}}"#,
             targets.join(",")
         );
-        let log = changelog.map_or(String::new(), |address| {
-            format!(r#""changelog":"{address}","#)
-        });
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",{log}
-               "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}}}"#
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+               "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}"#
         );
         let own = r#"{"flight": {"listen": "127.0.0.1:0"}, "admin": {"listen": "127.0.0.1:0"}}"#;
-        std::fs::write(folder.join("config.json"), config).expect("writes");
+        write_config(&folder, &config, changelog.as_deref());
         std::fs::write(folder.join("own.json"), own).expect("writes");
         let _inside = runtime.enter();
         let mut app = Command::new(env!("CARGO_BIN_EXE_sedgebeam"))
@@ -157,6 +158,7 @@
             addresses: HashMap::new(),
             endpoints,
             folder,
+            config,
         };
         let flight = stage.logged("serves Flight SQL clients on ");
         stage.addresses.insert("f", flight);
@@ -195,7 +197,8 @@
                 ("app", "wait") => {
                     self.logged(words);
                 }
-                ("app", "close") => self.terminate(),
+                ("app", "close") => self.signal("-TERM"),
+                ("app", "send") => self.reload(words),
                 ("app", "expect") => self.ended(words),
                 (_, "send") => self.send(who, words),
                 (_, "expect") => self.expect(who, words, line),
@@ -274,10 +277,22 @@
         std::iter::from_fn(|| peer.heard.try_recv().ok()).collect()
     }
 
-    fn terminate(&mut self) {
+    /// Has the program read a file that names another change log, or one that is half written.
+    fn reload(&mut self, words: &str) {
+        match words.strip_prefix("reload ") {
+            Some(name) => write_config(&self.folder, &self.config, Some(&self.endpoints[name])),
+            None => {
+                let half = &self.config[..self.config.len() / 2];
+                std::fs::write(self.folder.join("config.json"), half).expect("writes");
+            }
+        }
+        self.signal("-HUP");
+    }
+
+    fn signal(&mut self, signal: &str) {
         let id = self.app.id().expect("it runs").to_string();
         let kill = std::process::Command::new("kill")
-            .args(["-TERM", &id])
+            .args([signal, &id])
             .status();
         assert!(kill.expect("kill runs").success());
     }
@@ -300,6 +315,13 @@
     }
 }
 
+fn write_config(folder: &Path, config: &str, changelog: Option<&str>) {
+    let log = changelog.map_or(String::new(), |address| {
+        format!(r#","changelog":"{address}""#)
+    });
+    std::fs::write(folder.join("config.json"), format!("{config}{log}}}")).expect("writes");
+}
+
 /// A folder of this scenario's own.
 pub fn folder() -> PathBuf {
     use std::sync::atomic::{AtomicU64, Ordering};
@@ -310,10 +332,11 @@
     folder
 }
 
-/// An entry of the change log: `SEQ STATE NAME ENDPOINT`.
+/// An entry of the change log: `SEQ STATE NAME ENDPOINT`; with `whole` as state, the whole list.
 pub fn change(seq: &str, state: &str, name: &str, endpoint: &str) -> String {
-    let target = target(name, endpoint, state);
-    format!(r#"{{"seq":{seq},"fleet":{{"rev":{seq},"all":false,"targets":[{target}]}}}}"#)
+    let all = state == "whole";
+    let target = target(name, endpoint, if all { "up" } else { state });
+    format!(r#"{{"seq":{seq},"fleet":{{"rev":{seq},"all":{all},"targets":[{target}]}}}}"#)
 }
 
 /// Administers: `send METHOD PATH [BODY]`; hears the status and the body.
