Have strangers and the longest idle sessions give way, and close what begins and never ends

Sessions::start in serve.rs turned the newcomer away whoever held the places. Ruled out: descriptors (159 of 256) and memory (4 of 32 MB). front/places.rs now knows who has asked nothing yet and who is idle; the first of these gives way, a session with a request under way never. In front/pg a start has 2 s instead of 10, half a message 1 to 2 s instead of no limit, and a client whose messages are of no use is read on only after a pause. The last call is 0.7 s, as requests come until 0.6 s after SIGTERM. Both scenarios fail without.

--- a/dispatcher/src/front/mod.rs
+++ b/dispatcher/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod flight;
 pub mod incoming;
 pub mod pg;
+pub mod places;
 pub mod statement;
 
 use crate::broker::{BrokerBox, Failure};
--- a/dispatcher/src/front/pg/mod.rs
+++ b/dispatcher/src/front/pg/mod.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 
+use super::places::{Place, Standing};
 use super::{Shared, reason, statement};
 use crate::broker::{self, Answer, Delivery, Failure, SessionKey, ToBroker};
 use bytes::{Bytes, BytesMut};
@@ -11,11 +12,17 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::{Encoder, Framed};
 
 /// A connection that has not said what it wants by then is closed.
-const STARTUP: Duration = Duration::from_secs(10);
+const STARTUP: Duration = Duration::from_secs(2);
+/// A message that stays half for this long, or up to twice as long, ends its session.
+const HALF: Duration = Duration::from_secs(1);
+/// The pause before anything more is read of a client whose message was of no use, doubled with each in a
+/// row: one that sends the same again at once takes no time from the others.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const PAUSE_DOUBLINGS: u32 = 5;
 
 type Wire = Framed<TcpStream, Pg>;
 
@@ -25,16 +32,24 @@
     shared: Shared,
     key: SessionKey,
     ending: watch::Receiver<bool>,
+    place: Place,
 ) {
+    let gives_way = place.gives_way();
     let session = Session {
         wire: Framed::new(stream, Pg::default()),
         shared,
         key,
         ending,
+        place,
+        useless: 0,
         held: None,
     };
-    if let Err(error) = session.run().await {
-        log::debug!("session {}: {error}", key.0);
+    tokio::select! {
+        biased;
+        () = gives_way.cancelled() => log::debug!("session {}: gives way", key.0),
+        ended = session.run() => if let Err(error) = ended {
+            log::debug!("session {}: {error}", key.0);
+        }
     }
 }
 
@@ -58,6 +73,9 @@
     shared: Shared,
     key: SessionKey,
     ending: watch::Receiver<bool>,
+    place: Place,
+    /// Messages of no use in a row.
+    useless: u32,
     /// What the client said while its last query was under way.
     held: Option<Said>,
 }
@@ -65,7 +83,7 @@
 impl Session {
     async fn run(mut self) -> io::Result<()> {
         let started = timeout(STARTUP, self.start()).await;
-        if !started.map_err(io::Error::other)?? {
+        if !started.map_err(late)?? {
             return Ok(());
         }
         while let Some(said) = self.listen().await? {
@@ -115,19 +133,34 @@
         }
         tokio::select! {
             biased;
-            said = self.wire.next() => match said {
-                Some(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
+            said = next(&mut self.wire) => match said {
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
                     let message = error.to_string();
                     let told = Error { code: "08P01", message, hint: None };
                     self.wire.send(Say::Error(told)).await?;
                     Ok(None)
                 }
-                said => said.transpose(),
+                said => said,
             },
             () = ended(&mut self.ending) => Ok(None),
         }
     }
 
+    /// Answers what is of no use, and reads on only after a pause.
+    async fn reject(&mut self, code: &'static str, message: String) -> io::Result<()> {
+        let told = Error {
+            code,
+            message,
+            hint: None,
+        };
+        self.wire.feed(Say::Error(told)).await?;
+        self.wire.send(Say::Ready).await?;
+        let pause = FIRST_PAUSE * (1 << self.useless.min(PAUSE_DOUBLINGS));
+        self.useless += 1;
+        sleep(pause).await;
+        Ok(())
+    }
+
     /// Answers a message of the extended protocol: one error, and nothing more up to its Sync.
     async fn unsupported(&mut self, said: &Said) -> io::Result<bool> {
         let message = format!("only simple queries are served here, not {said:?}");
@@ -159,6 +192,10 @@
         let request = statement::read(&text, came, &self.shared.names, Some(self.key));
         let answer = match request {
             Ok(request) => {
+                // One that must give way at this moment has sent nothing on.
+                if !self.place.stand(Standing::Busy) {
+                    return Ok(false);
+                }
                 let pending = broker::submit(&self.shared.broker, request).await;
                 match self.wait(pending).await? {
                     Some(answer) => answer,
@@ -166,13 +203,7 @@
                 }
             }
             Err(statement::Unusable(message)) => {
-                let told = Error {
-                    code: "42601",
-                    message,
-                    hint: None,
-                };
-                self.wire.feed(Say::Error(told)).await?;
-                self.wire.send(Say::Ready).await?;
+                self.reject("42601", message).await?;
                 return Ok(true);
             }
         };
@@ -191,7 +222,8 @@
             Answer::Failed(failure) => self.wire.feed(Say::Error(failed(failure))).await?,
         }
         self.wire.send(Say::Ready).await?;
-        Ok(true)
+        self.useless = 0;
+        Ok(self.place.stand(Standing::Idle))
     }
 
     /// Waits for the answer and watches the client meanwhile; `None` when it has gone.
@@ -237,6 +269,26 @@
     }
 }
 
+fn late<E>(_: E) -> io::Error {
+    io::Error::new(
+        io::ErrorKind::TimedOut,
+        "a start or a message did not come whole in time",
+    )
+}
+
+/// The next message, `None` when the client has gone. Guards against messages that begin and never end:
+/// they would hold their session, and what has come of them, for good.
+async fn next(wire: &mut Wire) -> io::Result<Option<Said>> {
+    let mut half = false;
+    loop {
+        match timeout(HALF, wire.next()).await {
+            Ok(said) => return said.transpose(),
+            Err(elapsed) if half => return Err(late(elapsed)),
+            Err(_) => half = !wire.read_buffer().is_empty(),
+        }
+    }
+}
+
 /// Waits until the dispatcher is ending.
 async fn ended(ending: &mut watch::Receiver<bool>) {
     // A sender that is gone has ended too.
--- /dev/null
+++ b/dispatcher/src/front/places.rs
@@ -0,0 +1,162 @@
+//! The places of sessions: so many at once, and who gives way to a newcomer when all are taken.
+//!
+//! Guards against connections by the hundred that say nothing, and against clients that keep theirs for
+//! good: they gave usual clients no place. Strangers go first, then whoever has been idle for longest; a
+//! session with a request under way never goes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio_util::sync::CancellationToken;
+
+/// What a session is at the moment; the first to give way stands first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It has asked nothing yet that could be answered.
+    Stranger,
+    Idle,
+    Busy,
+}
+
+struct Entry {
+    standing: Standing,
+    /// The turn at which it came to this standing.
+    turn: u64,
+    gives_way: CancellationToken,
+}
+
+#[derive(Default)]
+struct Table {
+    entries: HashMap<u64, Entry>,
+    /// All that may give way, in that order.
+    order: BTreeMap<(Standing, u64), u64>,
+    turn: u64,
+}
+
+impl Table {
+    fn stand(&mut self, number: u64, standing: Standing) -> bool {
+        self.turn += 1;
+        let turn = self.turn;
+        let Some(entry) = self.entries.get_mut(&number) else {
+            return false;
+        };
+        self.order.remove(&(entry.standing, entry.turn));
+        (entry.standing, entry.turn) = (standing, turn);
+        if standing != Standing::Busy {
+            self.order.insert((standing, turn), number);
+        }
+        true
+    }
+
+    fn leave(&mut self, number: u64) {
+        if let Some(entry) = self.entries.remove(&number) {
+            self.order.remove(&(entry.standing, entry.turn));
+        }
+    }
+
+    /// Has the first of the order give way; false where all are busy.
+    fn make_room(&mut self) -> bool {
+        let Some((_, number)) = self.order.pop_first() else {
+            return false;
+        };
+        if let Some(entry) = self.entries.remove(&number) {
+            entry.gives_way.cancel();
+        }
+        true
+    }
+}
+
+#[derive(Clone)]
+pub struct Places {
+    most: usize,
+    table: Arc<Mutex<Table>>,
+}
+
+impl Places {
+    pub fn new(most: usize) -> Places {
+        Places {
+            most,
+            table: Arc::default(),
+        }
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        // Nothing panics while it is held; what it holds would be whole all the same.
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A place for a newcomer, and whether another gave way for it; `None` where all are busy.
+    pub fn take(&self) -> Option<(Place, bool)> {
+        let mut table = self.table();
+        let full = table.entries.len() >= self.most;
+        if full && !table.make_room() {
+            return None;
+        }
+        table.turn += 1;
+        let number = table.turn;
+        let gives_way = CancellationToken::new();
+        let entry = Entry {
+            standing: Standing::Stranger,
+            turn: number,
+            gives_way: gives_way.clone(),
+        };
+        table.entries.insert(number, entry);
+        table.order.insert((Standing::Stranger, number), number);
+        let place = Place {
+            number,
+            gives_way,
+            places: self.clone(),
+        };
+        Some((place, full))
+    }
+}
+
+/// A session's place; given back when it is dropped.
+pub struct Place {
+    number: u64,
+    gives_way: CancellationToken,
+    places: Places,
+}
+
+impl Place {
+    /// Changes what the session is; false where it has been told to give way.
+    pub fn stand(&self, standing: Standing) -> bool {
+        self.places.table().stand(self.number, standing)
+    }
+
+    /// Becomes ready when the session must give way.
+    pub fn gives_way(&self) -> CancellationToken {
+        self.gives_way.clone()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.table().leave(self.number);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn strangers_give_way_first_then_the_longest_idle_and_the_busy_never() {
+        let places = Places::new(3);
+        let take = || places.take().expect("a place").0;
+        let (first, second, stranger) = (take(), take(), take());
+        for place in [&second, &first] {
+            assert!(place.stand(Standing::Busy) && place.stand(Standing::Idle));
+        }
+        let gone = |place: &Place| place.gives_way().is_cancelled();
+        let busy = take();
+        assert!(gone(&stranger) && !gone(&second));
+        assert!(!stranger.stand(Standing::Busy), "it has no place any more");
+        assert!(busy.stand(Standing::Busy));
+        let last = take();
+        assert!(gone(&second) && !gone(&first));
+        assert!(first.stand(Standing::Busy) && last.stand(Standing::Busy));
+        assert!(places.take().is_none(), "all are busy");
+        drop(last);
+        assert!(!places.take().expect("a place given back").1);
+    }
+}
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::broker::{self, SessionKey, ToBroker};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::front::places::Places;
 use crate::front::{Shared, flight, incoming, pg};
 use crate::reload::{self, Source};
 use crate::roster::{self, Listing};
@@ -14,10 +15,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// For so long after SIGTERM connections and requests go on coming, with some to spare.
-const LAST_CALL: Duration = Duration::from_millis(600);
+const LAST_CALL: Duration = Duration::from_millis(700);
 /// The share of the descriptors that sessions may hold: the platform's clients hold a third.
 const SESSIONS_PART: f64 = 0.55;
 /// Flight SQL clients at once.
@@ -102,12 +104,11 @@
         config.name,
         listener.local_addr()?
     );
-    let most = (config.sockets as f64 * SESSIONS_PART) as usize;
     let sessions = Sessions {
         shared,
         ending,
         alive,
-        most,
+        places: Places::new((config.sockets as f64 * SESSIONS_PART) as usize),
         next: config.seed,
     };
     let accepting = supervise::vital("accepting", sessions.accept(listener, end.subscribe()));
@@ -149,7 +150,7 @@
     shared: Shared,
     ending: watch::Receiver<bool>,
     alive: mpsc::Sender<()>,
-    most: usize,
+    places: Places,
     next: u64,
 }
 
@@ -162,7 +163,7 @@
                 _ = end.wait_for(|end| *end) => return,
             };
             match accepted {
-                Ok((stream, _)) => self.start(stream),
+                Ok((stream, _)) => self.start(stream).await,
                 Err(error) => {
                     log::warn!("accepting: {error}");
                     sleep(ACCEPT_PAUSE).await;
@@ -171,15 +172,15 @@
         }
     }
 
-    fn start(&mut self, stream: TcpStream) {
-        // One sender is kept here, and one by each session.
-        if self.alive.strong_count() > self.most {
-            log::warn!(
-                "more than {} sessions: a connection is turned away",
-                self.most
-            );
+    async fn start(&mut self, stream: TcpStream) {
+        let Some((place, gave_way)) = self.places.take() else {
+            log::debug!("all sessions are busy: a connection is turned away");
             pg::turn_away(&stream);
             return;
+        };
+        if gave_way {
+            // Whoever gave way lets its descriptor go before the next one is accepted.
+            yield_now().await;
         }
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("a connection ended at once: {error}");
@@ -191,6 +192,7 @@
             self.shared.clone(),
             SessionKey(self.next),
             self.ending.clone(),
+            place,
         );
         let alive = self.alive.clone();
         let task = async move {
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -124,7 +124,7 @@
             targets.join(",")
         );
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":64}},
                "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}"#
         );
         let own = r#"{"flight": {"listen": "127.0.0.1:0"}, "admin": {"listen": "127.0.0.1:0"}}"#;
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -33,6 +33,45 @@
     );
 }
 
+#[test]
+fn what_begins_and_never_ends_is_closed() {
+    // Half a start; a start and half a query; and a connection that says nothing at all.
+    Stage::new(&["e1"]).play(
+        "tcp1 send 0000000c 0003
+         tcp2 send 00000009 00030000 00 51000000ff
+         tcp2 expect 52
+         tcp3 send
+         tcp1 expect closed
+         tcp2 expect closed
+         tcp3 expect closed",
+    );
+}
+
+/// More than the sessions that the stage's 64 descriptors allow.
+const CROWD: usize = 36;
+
+#[test]
+fn strangers_by_the_hundred_give_way_to_clients_and_those_that_ask_nothing_more_do_too() {
+    let served = "e1 expect fetch\ne1 send 1 OK 1 a|b|c\nc0 expect row\nc0 expect complete";
+    let mut stage = Stage::new(&["e1"]);
+    stage.play(&format!("c0 send lookup 1\n{served}"));
+    for number in 1..=CROWD {
+        stage.play(&format!("c{number} send empty\nc{number} expect empty"));
+    }
+    stage.play(&format!("c1 expect closed\nc0 send lookup 1\n{served}"));
+    // All of these ask once and keep their connection: the one that has been idle for longest goes.
+    for number in 1..=CROWD {
+        stage.play(&format!(
+            "c10{number} send lookup 2{number}
+             e1 expect fetch 2{number}
+             e1 send 2{number} OK 1 a|b|c
+             c10{number} expect row
+             c10{number} expect complete"
+        ));
+    }
+    stage.play("c0 expect closed");
+}
+
 #[test]
 fn a_cancel_request_on_its_own_connection_calls_the_query_off() {
     Stage::new(&["e1"]).play(
