Tell a good answer from a spoilt one before it is passed on, and refuse fields that can't be

Statements with unknown tenants, figures like 1e300 and names of 3 digits went on to engines. Measured on the way: 129 good connections were abandoned for 'a count that can't be: nothing in parts'; that was the answer under an unknown name, so a whole but unusable answer is now a fault only of what it is about.

--- a/dispatcher/src/broker/answer.rs
+++ b/dispatcher/src/broker/answer.rs
@@ -29,6 +29,8 @@
     Cancelled,
     /// Another request of this name is open.
     Duplicate,
+    /// It names a tenant that there is not.
+    Tenant,
     /// The dispatcher is ending.
     Ending,
 }
--- a/dispatcher/src/broker/mod.rs
+++ b/dispatcher/src/broker/mod.rs
@@ -300,10 +300,13 @@
             return;
         }
         let id = request.id;
-        let tenant = request
-            .tenant
-            .as_deref()
-            .and_then(|name| self.names.tenant(name));
+        let named = request.tenant.as_deref();
+        let tenant = named.and_then(|name| self.names.tenant(name));
+        // One that names a tenant that there is not must not be served as if it named none.
+        if named.is_some() && tenant.is_none() {
+            let _ = reply.send(Answer::Failed(Failure::Tenant));
+            return;
+        }
         self.counters.taken(request.class, tenant);
         self.events.push(Event::Request(Query {
             id,
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -1,6 +1,6 @@
 //! The one place where configuration is read, checked and given defaults.
 
-use crate::roster::{Change, Target};
+use crate::roster::{self, Change, Target};
 use miniserde::json::Value;
 use miniserde::{Deserialize, json};
 use sedgebeam_core::{Micros, Settings};
@@ -8,6 +8,14 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// The share of the descriptors that connections to engines may hold; sessions have their own.
+const ENGINES_PART: f64 = 0.35;
+/// Engines that may come on top of those that are known.
+const NEW_ENGINES: usize = 2;
+/// Bounds of the connections to one engine.
+const FEWEST_CONNECTIONS: usize = 2;
+const MOST_CONNECTIONS: usize = 32;
+
 /// What a dispatcher needs to know at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -266,6 +274,10 @@
         .limits
         .or(own.limits)
         .and_then(|limits| limits.sockets);
+    let sockets = sockets.unwrap_or(1024).max(64) as usize;
+    let known = known(platform.known.or(own.known), own.engines)?;
+    let mut connections = facts.connections();
+    connections.most = engine_connections(sockets, roster::fold(known.changes.clone()).len());
     let name = environment.name.clone().or(platform.name).or(own.name);
     let seeded = platform.seed.or(own.seed);
     Ok(Config {
@@ -274,15 +286,21 @@
         flight: listener("flight.listen", own.flight)?,
         admin: listener("admin.listen", own.admin)?,
         changelog: address("changelog", changelog.as_deref())?,
-        known: known(platform.known.or(own.known), own.engines)?,
+        known,
         seed: seed(seeded.as_deref())?,
-        sockets: sockets.unwrap_or(1024).max(64) as usize,
+        sockets,
         settings: settings(&facts)?,
         names: facts.names(),
-        connections: facts.connections(),
+        connections,
     })
 }
 
+/// Connections to one engine: its part of what descriptors engines may hold, with room for new engines.
+fn engine_connections(sockets: usize, engines: usize) -> usize {
+    let part = (sockets as f64 * ENGINES_PART) as usize / (engines + NEW_ENGINES);
+    part.clamp(FEWEST_CONNECTIONS, MOST_CONNECTIONS)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -33,8 +33,6 @@
 pub const RENICE: &str = "sedgebeam.renice";
 pub const STATS: &str = "sedgebeam.stats";
 
-/// Connections to one engine at the most.
-const MOST_LANES: usize = 24;
 /// Time between polls: short at first, as most queries are.
 const FIRST_POLL: Duration = Duration::from_millis(10);
 const LONGEST_POLL: Duration = Duration::from_millis(500);
@@ -183,7 +181,7 @@
             lane.out += 1;
             return Some((*number, lane.opening.clone()));
         }
-        if self.lanes.len() >= MOST_LANES {
+        if self.lanes.len() >= self.settings.most {
             return None;
         }
         self.next_lane += 1;
@@ -200,7 +198,13 @@
 
     async fn send(&mut self, attempt: Attempt) {
         let (id, number) = (attempt.request, attempt.number);
-        let Some((lane, opening)) = self.lane() else {
+        // Its name is out here already, for a result that is still being read: that must not be cut off.
+        let lane = if self.running.contains_key(&id) {
+            None
+        } else {
+            self.lane()
+        };
+        let Some((lane, opening)) = lane else {
             self.reports.ended(id, number, End::ConnectFailed).await;
             return;
         };
--- a/dispatcher/src/engine/resp/codec.rs
+++ b/dispatcher/src/engine/resp/codec.rs
@@ -4,12 +4,17 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use sedgebeam_core::{Load, Note, RequestId};
 use std::io;
+use std::ops::RangeInclusive;
 use tokio_util::codec::{Decoder, Encoder};
 
-/// The most that an answer may hold: a page is 6,000 bytes.
-const MOST_BULK: usize = 64 * 1024;
-const MOST_PARTS: usize = 8;
-const MOST_LINE: usize = 32;
+/// The longest each part of an answer may be: id, word, fields, and a page. What is longer is spoilt, and
+/// is not waited for, however much of it is announced.
+const MOST_BULK: [usize; 4] = [64, 16, 1024, 6000];
+const MOST_LINE: usize = 16;
+/// Pages of a result at the most: it holds 48,000 bytes, and two pages in a row more than 6,000.
+pub const MOST_PAGES: u32 = 17;
+/// Columns of every row.
+const COLUMNS: usize = 3;
 
 /// A command to an engine.
 #[derive(Clone, Debug)]
@@ -27,6 +32,8 @@
 pub enum About {
     Request(RequestId),
     Tag(u64),
+    /// A name that was never given: nothing here belongs to it.
+    Nobody,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -47,6 +54,9 @@
     },
     Up(Option<Load>),
     Down,
+    /// Whole, but nothing that can be used. It is a fault only of what it is about: an answer that belongs to
+    /// nobody may come ahead of a good one.
+    Spoilt(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -150,12 +160,12 @@
 
 /// The next array, if it has come whole.
 fn frame(bytes: &[u8]) -> io::Result<Option<Frame>> {
-    let Some((parts, mut at)) = count(bytes, 0, b'*', MOST_PARTS)? else {
+    let Some((parts, mut at)) = count(bytes, 0, b'*', MOST_BULK.len())? else {
         return Ok(None);
     };
     let mut places = Vec::with_capacity(parts);
-    for _ in 0..parts {
-        let Some((length, start)) = count(bytes, at, b'$', MOST_BULK)? else {
+    for most in MOST_BULK.into_iter().take(parts) {
+        let Some((length, start)) = count(bytes, at, b'$', most)? else {
             return Ok(None);
         };
         at = start + length + 2;
@@ -188,40 +198,57 @@
             return Err(invalid("an answer without id or word"));
         };
         let fields = part(2).unwrap_or_default();
-        let fields = Fields::parse(&fields)?;
+        let read = Fields::parse(&fields)
+            .and_then(|fields| reply_word(&word, &fields, part(3).unwrap_or_default()));
         Ok(Some(Reply {
-            about: about(&id)?,
-            word: reply_word(&word, &fields, part(3).unwrap_or_default())?,
+            about: about(&id),
+            word: read.unwrap_or_else(|error| Word::Spoilt(error.to_string())),
         }))
     }
 }
 
-fn about(id: &[u8]) -> io::Result<About> {
-    let id = std::str::from_utf8(id).map_err(|_| invalid("an id that is not text"))?;
+fn about(id: &[u8]) -> About {
+    let Ok(id) = std::str::from_utf8(id) else {
+        return About::Nobody;
+    };
     let about = match id.strip_prefix(TAG) {
         Some(tag) => tag.parse().map(About::Tag),
-        None => u64::from_str_radix(id, 16).map(|id| About::Request(RequestId(id))),
+        // A sign would be read as a part of the number.
+        None if id.len() == 16 && !id.starts_with('+') => {
+            u64::from_str_radix(id, 16).map(|id| About::Request(RequestId(id)))
+        }
+        None => return About::Nobody,
     };
-    about.map_err(|_| invalid("an id that was never given"))
+    about.unwrap_or(About::Nobody)
+}
+
+/// Rows as they must be: each ends, and each has its columns. What is spoilt inside a cell can't be told.
+fn rows(rows: Bytes) -> io::Result<Bytes> {
+    let whole = rows.is_empty() || rows.ends_with(b"\n");
+    let mut lines = rows.split_inclusive(|byte| *byte == b'\n');
+    let shaped = |line: &[u8]| line.iter().filter(|byte| **byte == b'\t').count() + 1 == COLUMNS;
+    if whole && lines.all(shaped) && std::str::from_utf8(&rows).is_ok() {
+        Ok(rows)
+    } else {
+        Err(invalid("rows that are not whole"))
+    }
 }
 
-fn reply_word(word: &[u8], fields: &Fields, rows: Bytes) -> io::Result<Word> {
+fn reply_word(word: &[u8], fields: &Fields, body: Bytes) -> io::Result<Word> {
     Ok(match word {
         b"OK" => Word::Ok {
-            parts: fields.number("parts").map_or(1, |parts| parts as u32),
-            work: fields.number("work"),
+            parts: fields.count("parts", 1..=MOST_PAGES)?,
+            work: fields.number("work")?,
             load: fields.load(),
-            rows,
+            rows: rows(body)?,
         },
         b"BUSY" => Word::Busy,
         b"ERR" => Word::Err,
         b"VOID" => Word::Void,
         b"NOTE" => Word::Note(fields.note()),
         b"ROWS" => Word::Rows {
-            page: fields
-                .number("part_no")
-                .ok_or_else(|| invalid("a page without number"))? as u32,
-            rows,
+            page: fields.count("part_no", 1..=MOST_PAGES - 1)?,
+            rows: rows(body)?,
         },
         b"UP" => Word::Up(fields.load()),
         b"DOWN" => Word::Down,
@@ -235,8 +262,14 @@
 impl<'a> Fields<'a> {
     fn parse(bytes: &'a [u8]) -> io::Result<Fields<'a>> {
         let text = std::str::from_utf8(bytes).map_err(|_| invalid("fields that are not text"))?;
-        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-        Ok(Fields(pairs.collect()))
+        if text.is_empty() || text == "-" {
+            return Ok(Fields(Vec::new()));
+        }
+        let pairs = text.split(',').map(|pair| pair.split_once('='));
+        let pairs: Option<Vec<_>> = pairs.collect();
+        pairs
+            .map(Fields)
+            .ok_or_else(|| invalid("fields that are no pairs"))
     }
 
     fn text(&self, name: &str) -> Option<&'a str> {
@@ -244,8 +277,25 @@
         found.map(|(_, value)| *value)
     }
 
-    fn number(&self, name: &str) -> Option<f64> {
-        self.text(name)?.parse().ok()
+    /// A figure, where the field is there; it must be one, and not negative.
+    fn number(&self, name: &str) -> io::Result<Option<f64>> {
+        let Some(text) = self.text(name) else {
+            return Ok(None);
+        };
+        let number = text.parse().ok();
+        let number = number.filter(|number: &f64| number.is_finite() && *number >= 0.0);
+        number
+            .map(Some)
+            .ok_or_else(|| invalid("a field that is no figure"))
+    }
+
+    /// A count that must be there, within its bounds.
+    fn count(&self, name: &str, bounds: RangeInclusive<u32>) -> io::Result<u32> {
+        let count = self.text(name).and_then(|text| text.parse().ok());
+        count.filter(|count| bounds.contains(count)).ok_or_else(|| {
+            let told = self.text(name).unwrap_or("nothing");
+            invalid(&format!("a count that can't be: {told:.40} in {name}"))
+        })
     }
 
     fn load(&self) -> Option<Load> {
@@ -257,7 +307,7 @@
     }
 
     fn note(&self) -> Option<Note> {
-        let value = self.number("value")?;
+        let value = self.number("value").ok()??;
         Some(match self.text("res")? {
             "p" => Note::Progress(value),
             "s" => Note::Spills(value),
@@ -272,6 +322,8 @@
 mod tests {
     use super::*;
 
+    const ID: &str = "00000000000000ff";
+
     fn decode(text: &str) -> io::Result<Option<Reply>> {
         Resp.decode(&mut BytesMut::from(text))
     }
@@ -355,6 +407,22 @@
         );
     }
 
+    #[test]
+    fn a_name_never_given_is_nobodys_and_no_fault() {
+        for name in [
+            "zz",
+            "p",
+            "",
+            "ff",
+            "0000000000000000ff",
+            "+0000000000000ff",
+        ] {
+            let reply = decode(&array(&[name, "OK", "parts=1", "a\tb\tc\n"]));
+            let reply = reply.expect("is read").expect("is whole");
+            assert_eq!(reply.about, About::Nobody, "{name}");
+        }
+    }
+
     #[test]
     fn what_is_malformed_is_an_error_and_never_a_wait_without_end() {
         let endless = "9".repeat(40);
@@ -368,11 +436,26 @@
             "*2\r\n$999999999\r\n",
             "*0\r\n",
             &endless,
-            &array(&["zz", "OK", "-", ""]),
-            &array(&["ff", "WHAT", "-", ""]),
-            &array(&["ff", "ROWS", "-", ""]),
+            &array(&[ID, "OK", "parts=1", &"a\tb\tc\n".repeat(1001)]),
+            "*4\r\n$16\r\n00000000000000ff\r\n$2\r\nOK\r\n$7\r\nparts=1\r\n$3000000000\r\n",
         ] {
             assert!(decode(text).is_err(), "{text:?}");
         }
+        for text in [
+            &array(&[ID, "WHAT", "-", ""]),
+            &array(&[ID, "ROWS", "-", ""]),
+            &array(&[ID, "ROWS", "part_no=0", ""]),
+            &array(&[ID, "OK", "-", ""]),
+            &array(&[ID, "OK", "parts=0", ""]),
+            &array(&[ID, "OK", "parts=1e9", ""]),
+            &array(&[ID, "OK", "parts=1,work=x", ""]),
+            &array(&[ID, "OK", "p@rts", ""]),
+            &array(&[ID, "OK", "parts=1", "a\tb\tc"]),
+            &array(&[ID, "OK", "parts=1", "a\tb\tc\na\tb\n"]),
+            &array(&[ID, "OK", "parts=1", "a\tb\tc\td\n"]),
+        ] {
+            let reply = decode(text).expect("is read").expect("is whole");
+            assert!(matches!(reply.word, Word::Spoilt(_)), "{text:?}");
+        }
     }
 }
--- a/dispatcher/src/engine/resp/mod.rs
+++ b/dispatcher/src/engine/resp/mod.rs
@@ -1,42 +1,60 @@
-//! The actor of an engine that speaks RESP: many attempts on few connections.
+//! The actor of an engine that speaks RESP. An answer that is spoilt takes all with it that is out on its
+//! connection, so attempts are spread over as many connections as there may be.
 
 mod codec;
 mod connection;
 
-use super::{Attempt, End, More, Page, Probe, Report, Reports, ToEngine};
+use super::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
 use crate::clock::duration;
+use bytes::{Bytes, BytesMut};
 use codec::{About, Command, Reply, Word};
 use connection::{Came, Connection, Number};
-use sedgebeam_core::{AttemptNo, Micros, RequestId};
+use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
 use sedgebeam_settings::Connections;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, interval};
 
-/// Connections to one engine at the most: far more than its sessions fill, far fewer than the sockets.
-const MOST_CONNECTIONS: usize = 24;
 /// What came from connections and waits for the actor; they wait beyond it.
 const MAILBOX: usize = 1024;
 /// An idle connection is closed at this part of the time after which the engine closes it: what crosses
 /// the engine's close would look as if it may have run.
 const IDLE_PART: f64 = 0.7;
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A page that has been asked for comes within this time, or never.
+const PAGE_LIMIT: Duration = Duration::from_millis(500);
 
 /// An attempt that is out.
 struct Out {
     number: AttemptNo,
     connection: Number,
+    sent: Instant,
     /// Not yet written, as the connection is only being made.
     unwritten: bool,
+    /// The good answer, while pages of it are still to come.
+    result: Option<Partial>,
 }
 
-/// A result of which pages may still be asked for.
-struct Pages {
-    number: AttemptNo,
-    connection: Number,
-    parts: u32,
-    waiting: Option<(u32, oneshot::Sender<Page>)>,
+/// A result of which pages are still to come. It is passed on only once it is whole: what is lost before can
+/// be had from another engine, where the class allows.
+struct Partial {
+    pages: Vec<Option<Bytes>>,
+    work: Option<f64>,
+    load: Option<Load>,
+    /// When the last page came.
+    came: Instant,
+}
+
+impl Partial {
+    fn whole(&self) -> Option<Bytes> {
+        let mut rows = BytesMut::new();
+        for page in &self.pages {
+            rows.extend_from_slice(page.as_ref()?);
+        }
+        Some(rows.freeze())
+    }
 }
 
 struct Actor {
@@ -47,7 +65,6 @@
     connections: HashMap<Number, Connection>,
     next_connection: u64,
     out: HashMap<RequestId, Out>,
-    pages: HashMap<RequestId, Pages>,
     probes: HashMap<u64, Instant>,
     next_probe: u64,
 }
@@ -68,7 +85,6 @@
         connections: HashMap::new(),
         next_connection: 0,
         out: HashMap::new(),
-        pages: HashMap::new(),
         probes: HashMap::new(),
         next_probe: 0,
     };
@@ -97,8 +113,8 @@
                 }
             }
             ToEngine::Probe => self.probe().await,
-            ToEngine::More(more) => self.more(more),
-            ToEngine::Done(id, number) => self.done(id, number),
+            // Results are passed on whole: there is nothing more to ask for.
+            ToEngine::More(_) | ToEngine::Done(..) => {}
             ToEngine::NothingNew => self.nothing_new().await,
         }
     }
@@ -126,23 +142,31 @@
             Out {
                 number,
                 connection,
+                sent: Instant::now(),
                 unwritten,
+                result: None,
             },
         );
     }
 
-    /// The fullest connection with room, or a new one. None that has carried this request before: a late
-    /// answer to an earlier attempt must not be taken for one to this.
+    /// The connection that was idle least long, or a new one while there may be more, or the one that carries
+    /// least. None that has carried this request before, nor one that is of no further use.
     fn connection_for(&mut self, request: Option<RequestId>) -> Option<Number> {
         let most = self.settings.max_streams;
         let fit = self.connections.iter().filter(|(_, connection)| {
-            connection.out < most && request.is_none_or(|id| !connection.gave_up(id))
+            let again = request.is_some_and(|id| connection.has_carried(id));
+            !connection.spent && connection.out < most && !again
         });
-        let best = fit.max_by_key(|(number, connection)| (connection.up, connection.out, number.0));
-        if let Some((number, _)) = best {
+        let least =
+            |connection: &Connection| (Reverse(connection.out), connection.up, connection.used);
+        let best = fit.max_by_key(|(number, connection)| (least(connection), number.0));
+        let full = self.connections.len() >= self.settings.most;
+        if let Some((number, connection)) = best
+            && (full || request.is_none() || connection.out == 0)
+        {
             return Some(*number);
         }
-        if self.connections.len() >= MOST_CONNECTIONS {
+        if full {
             return None;
         }
         self.next_connection += 1;
@@ -168,60 +192,99 @@
             self.out.insert(id, out);
             return;
         }
-        self.command(out.connection, Command::Abort(id));
+        // Of a result that is on its way no more is wanted; all else is called off.
+        let command = match out.result {
+            Some(_) => Command::Done(id),
+            None => Command::Abort(id),
+        };
+        self.command(out.connection, command);
         if let Some(connection) = self.connections.get_mut(&out.connection) {
-            connection.give_up(id);
+            connection.give_up(id, out.sent);
         }
     }
 
-    /// Takes an attempt that has had its answer on this connection. A late answer on an older one must
-    /// leave the attempt that is out now alone.
-    fn answered(&mut self, connection: Number, id: RequestId) -> Option<Out> {
-        let out = self.out.get(&id);
-        out.filter(|out| out.connection == connection)?;
-        let out = self.out.remove(&id)?;
+    /// The attempt that an answer on this connection is about. A late answer on an older one must leave the
+    /// attempt that is out now alone.
+    fn on(&mut self, connection: Number, id: RequestId) -> Option<&mut Out> {
+        let out = self.out.get_mut(&id);
+        out.filter(|out| out.connection == connection)
+    }
+
+    /// Ends an attempt that has had its answer on this connection.
+    async fn end(&mut self, connection: Number, id: RequestId, end: End) {
+        if self.on(connection, id).is_none() {
+            return;
+        }
+        let Some(out) = self.out.remove(&id) else {
+            return;
+        };
         if let Some(connection) = self.connections.get_mut(&connection) {
             connection.ended();
+            if !matches!(end, End::Ok { .. }) {
+                connection.remember(id);
+            }
         }
-        Some(out)
+        self.reports.ended(id, out.number, end).await;
     }
 
-    // ---- Pages ----
+    // ---- Results ----
 
-    fn more(&mut self, more: More) {
-        let Some(pages) = self.pages.get_mut(&more.request) else {
+    async fn ok(&mut self, connection: Number, id: RequestId, mut result: Partial) {
+        let Some(out) = self.on(connection, id) else {
+            // Called off meanwhile: nobody wants its pages. What was never asked for here is left alone.
+            let here = self.connections.get(&connection);
+            if here.is_some_and(|connection| connection.has_carried(id)) {
+                self.command(connection, Command::Done(id));
+            }
             return;
         };
-        if pages.number != more.number {
+        // A second copy must not begin the result anew.
+        if out.result.is_some() {
             return;
         }
-        let connection = pages.connection;
-        pages.waiting = Some((more.page, more.reply));
-        if !self.command(connection, Command::More(more.request, more.page)) {
-            self.pages.remove(&more.request);
+        let parts = result.pages.len() as u32;
+        result.came = Instant::now();
+        out.result = Some(result);
+        let asked = (1..parts).all(|page| self.command(connection, Command::More(id, page)));
+        if asked {
+            self.passed_on(connection, id).await;
+        } else {
+            self.abandon(connection, "it takes no more commands").await;
         }
     }
 
-    fn done(&mut self, id: RequestId, number: AttemptNo) {
-        if self
-            .pages
-            .get(&id)
-            .is_some_and(|pages| pages.number == number)
-            && let Some(pages) = self.pages.remove(&id)
-        {
-            self.command(pages.connection, Command::Done(id));
+    async fn page(&mut self, connection: Number, id: RequestId, number: u32, rows: Bytes) {
+        let Some(out) = self.on(connection, id) else {
+            return;
+        };
+        let place = out.result.as_mut().and_then(|result| {
+            result.came = Instant::now();
+            result.pages.get_mut(number as usize)
+        });
+        let Some(place) = place else {
+            // No such page was asked for: the answer is spoilt, and what follows it would be.
+            return self.abandon(connection, "a page that can't be").await;
+        };
+        if place.is_none() {
+            *place = Some(rows);
+            self.passed_on(connection, id).await;
         }
     }
 
-    fn page(&mut self, id: RequestId, number: u32, rows: bytes::Bytes) {
-        let Some(pages) = self.pages.get_mut(&id) else {
+    /// Reports a result once it is whole.
+    async fn passed_on(&mut self, connection: Number, id: RequestId) {
+        let result = self.on(connection, id).and_then(|out| out.result.as_ref());
+        let Some((rows, result)) = result.and_then(|result| Some((result.whole()?, result))) else {
             return;
         };
-        // A page that was not asked for is not passed on.
-        if let Some((_, reply)) = pages.waiting.take_if(|(asked, _)| *asked == number) {
-            let last = number + 1 >= pages.parts;
-            let _ = reply.send(Page { rows, last });
+        // Whole milliseconds, as the simulator's bill has them.
+        let work = result.work.map(|work| Micros::from_millis(work as u64));
+        let (load, paged) = (result.load, result.pages.len() > 1);
+        if paged {
+            self.command(connection, Command::Done(id));
         }
+        let page = Page { rows, last: true };
+        self.end(connection, id, End::Ok { page, work, load }).await;
     }
 
     // ---- Answers ----
@@ -241,62 +304,47 @@
     }
 
     async fn reply(&mut self, connection: Number, reply: Reply) {
+        if let Some(connection) = self.connections.get_mut(&connection) {
+            connection.heard = Instant::now();
+        }
         let id = match reply.about {
             About::Request(id) => id,
             About::Tag(tag) => return self.probed(tag, reply.word).await,
+            About::Nobody => return,
         };
         match reply.word {
             Word::Note(note) => {
-                let out = self.out.get(&id).filter(|out| out.connection == connection);
-                if let Some((out, note)) = out.zip(note) {
-                    self.reports.tell(Report::Note(id, out.number, note)).await;
+                let out = self.on(connection, id).map(|out| out.number);
+                if let Some((number, note)) = out.zip(note) {
+                    self.reports.tell(Report::Note(id, number, note)).await;
                 }
             }
-            Word::Rows { page, rows } => self.page(id, page, rows),
+            Word::Rows { page, rows } => self.page(connection, id, page, rows).await,
             Word::Ok {
                 parts,
                 work,
                 load,
                 rows,
             } => {
-                let Some(out) = self.answered(connection, id) else {
-                    // Called off meanwhile: nobody wants its pages.
-                    self.command(connection, Command::Done(id));
-                    return;
+                let mut pages = vec![None; parts as usize];
+                pages[0] = Some(rows);
+                let came = Instant::now();
+                let result = Partial {
+                    pages,
+                    work,
+                    load,
+                    came,
                 };
-                let last = parts <= 1;
-                if !last {
-                    let pages = Pages {
-                        number: out.number,
-                        connection,
-                        parts,
-                        waiting: None,
-                    };
-                    self.pages.insert(id, pages);
-                }
-                // Whole milliseconds, as the simulator's bill has them.
-                let work = work.map(|work| Micros::from_millis(work as u64));
-                let page = Page { rows, last };
-                self.reports
-                    .ended(id, out.number, End::Ok { page, work, load })
-                    .await;
+                self.ok(connection, id, result).await;
             }
-            Word::Err if self.pages.contains_key(&id) => {
-                // A page is lost: its reader sees the end of the channel.
-                self.pages.remove(&id);
+            Word::Busy => self.end(connection, id, End::Busy).await,
+            Word::Void => self.end(connection, id, End::Void).await,
+            // Also for a page that is lost. A probe's word about a request is no answer to it.
+            Word::Err => self.end(connection, id, End::Error).await,
+            Word::Spoilt(why) if self.on(connection, id).is_some() => {
+                self.abandon(connection, &why).await;
             }
-            word => self.failed(connection, id, word).await,
-        }
-    }
-
-    async fn failed(&mut self, connection: Number, id: RequestId, word: Word) {
-        let end = match word {
-            Word::Busy => End::Busy,
-            Word::Void => End::Void,
-            _ => End::Error,
-        };
-        if let Some(out) = self.answered(connection, id) {
-            self.reports.ended(id, out.number, end).await;
+            Word::Spoilt(_) | Word::Up(_) | Word::Down => {}
         }
     }
 
@@ -307,20 +355,26 @@
             .connections
             .remove(&number)
             .is_some_and(|connection| connection.up);
-        self.pages.retain(|_, pages| pages.connection != number);
         let here = self.out.extract_if(|_, out| out.connection == number);
-        let lost: Vec<(RequestId, AttemptNo)> = here.map(|(id, out)| (id, out.number)).collect();
-        for (id, attempt) in lost {
-            let never = !was_up || unwritten.contains(&id);
+        let lost: Vec<(RequestId, Out)> = here.collect();
+        for (id, out) in lost {
+            let answered = out.result.is_some();
+            let never = !answered && (!was_up || unwritten.contains(&id));
             let end = if never {
                 End::ConnectFailed
             } else {
                 End::Reset
             };
-            self.reports.ended(id, attempt, end).await;
+            self.reports.ended(id, out.number, end).await;
         }
     }
 
+    /// Lets a connection go that is of no further use though it stays open, with all that is out on it.
+    async fn abandon(&mut self, number: Number, why: &str) {
+        log::info!("connection to {}: abandoned: {why}", self.endpoint);
+        self.down(number, &[]).await;
+    }
+
     /// What waits for a connection to come up has not been written and is taken back.
     async fn nothing_new(&mut self) {
         let waiting = self.out.extract_if(|_, out| out.unwritten);
@@ -334,11 +388,18 @@
     async fn look(&mut self) {
         let now = Instant::now();
         let idle = duration(self.settings.idle).mul_f64(IDLE_PART);
-        let paged: Vec<Number> = self.pages.values().map(|pages| pages.connection).collect();
-        self.connections.retain(|number, connection| {
-            let busy = connection.out > 0 || !connection.up || paged.contains(number);
-            busy || now < connection.used + idle
+        self.connections.retain(|_, connection| {
+            let busy = connection.out > 0 || !connection.up;
+            busy || (!connection.spent && now < connection.used + idle)
         });
+        let stopped = self.out.values().filter(|out| {
+            let result = out.result.as_ref();
+            result.is_some_and(|result| now >= result.came + PAGE_LIMIT)
+        });
+        let stopped: Vec<Number> = stopped.map(|out| out.connection).collect();
+        for number in stopped {
+            self.abandon(number, "a page never came").await;
+        }
         let limit = duration(self.settings.connect_timeout);
         let late = self.probes.extract_if(|_, asked| now >= *asked + limit);
         for _ in late.collect::<Vec<_>>() {
--- a/dispatcher/src/front/flight.rs
+++ b/dispatcher/src/front/flight.rs
@@ -117,6 +117,7 @@
         Failure::Unanswered | Failure::Ending => Code::Aborted,
         Failure::Cancelled => Code::Cancelled,
         Failure::Duplicate => Code::AlreadyExists,
+        Failure::Tenant => Code::InvalidArgument,
     };
     Status::new(code, reason(failure))
 }
--- a/dispatcher/src/front/mod.rs
+++ b/dispatcher/src/front/mod.rs
@@ -23,6 +23,7 @@
         Failure::Unanswered => "no ledger engine answered; the statement may have run",
         Failure::Cancelled => "the statement was cancelled; it may have run",
         Failure::Duplicate => "a request of this txn is open already",
+        Failure::Tenant => "the field \"team\" names no tenant; nothing ran",
         Failure::Ending => "the dispatcher is ending; the statement may have run",
     }
 }
--- a/dispatcher/src/front/pg/mod.rs
+++ b/dispatcher/src/front/pg/mod.rs
@@ -219,6 +219,12 @@
                 };
                 self.wire.feed(Say::Error(told)).await?;
             }
+            Answer::Failed(failure @ (Failure::Duplicate | Failure::Tenant)) => {
+                self.place.stand(Standing::Stranger);
+                let told = failed(failure);
+                self.reject(told.code, told.message).await?;
+                return Ok(true);
+            }
             Answer::Failed(failure) => self.wire.feed(Say::Error(failed(failure))).await?,
         }
         self.wire.send(Say::Ready).await?;
@@ -305,6 +311,7 @@
         Failure::Unanswered => "58000",
         Failure::Cancelled => "57014",
         Failure::Duplicate => "42710",
+        Failure::Tenant => "42704",
         Failure::Ending => "57P01",
     };
     Error {
--- a/dispatcher/src/front/statement.rs
+++ b/dispatcher/src/front/statement.rs
@@ -4,7 +4,7 @@
 use crate::clock::duration;
 use bytes::Bytes;
 use sedgebeam_core::{GroupId, RequestId};
-use sedgebeam_settings::{Names, micros};
+use sedgebeam_settings::{Names, micros, millis};
 use tokio::time::Instant;
 
 /// The schema whose names are not counted.
@@ -15,6 +15,12 @@
     "from", "into", "join", "update", "table", "only", "using", "copy",
 ];
 
+/// Figures beyond these are no estimates: ten thousand seconds of work, a terabyte of memory.
+const MOST_WORK_MS: f64 = 1e7;
+const MOST_MEMORY_MB: f64 = 1e6;
+/// A client waits at most this many times as long as its class is worth waiting for.
+const MOST_PATIENCE: f64 = 2.0;
+
 /// What is wrong with a statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unusable(pub String);
@@ -35,13 +41,21 @@
     let whole = std::str::from_utf8(text).map_err(|_| Unusable("not UTF-8".to_string()))?;
     let (fields, statement) = split(whole)
         .ok_or_else(|| Unusable("the statement begins with no comment of fields".to_string()))?;
+    let pairs = fields.split(',').map(|pair| pair.trim().split_once('='));
+    let pairs: Option<Vec<(&str, &str)>> = pairs.collect();
+    let pairs =
+        pairs.ok_or_else(|| Unusable("the comment holds no pairs of fields".to_string()))?;
+    // Of two values of a field, an engine might mean the other one.
+    let twice = |(place, (name, _)): (usize, &(&str, &str))| {
+        let earlier = &pairs[..place];
+        earlier.iter().any(|(known, _)| known == name)
+    };
+    if let Some((_, (name, _))) = pairs.iter().enumerate().find(|pair| twice(*pair)) {
+        return Err(Unusable(format!("the field {name:?} is there twice")));
+    }
     let field = |name: &str| {
-        let mut pairs = fields
-            .split(',')
-            .filter_map(|pair| pair.trim().split_once('='));
-        pairs
-            .find(|(known, _)| *known == name)
-            .map(|(_, value)| value)
+        let found = pairs.iter().find(|(known, _)| *known == name);
+        found.map(|(_, value)| *value)
     };
     let start = whole.len() - statement.len();
     let statement = text.slice(start..);
@@ -62,31 +76,43 @@
     session: Option<SessionKey>,
 ) -> Result<NewRequest, Unusable> {
     let text = std::str::from_utf8(&statement).map_err(|_| Unusable("not UTF-8".to_string()))?;
-    let number = |name: &str| match field(name).map(str::parse::<f64>) {
+    if text.trim().is_empty() {
+        return Err(Unusable("there is no statement".to_string()));
+    }
+    let number = |name: &str, most: f64| match field(name).map(str::parse::<f64>) {
         None => Ok(0.0),
-        Some(Ok(value)) if value.is_finite() && value >= 0.0 => Ok(value),
+        // Not a number is in no range.
+        Some(Ok(value)) if (0.0..=most).contains(&value) => Ok(value),
         Some(_) => Err(unusable(name)),
     };
-    let limit = number("limit")?;
+    let class = field("verb").and_then(|verb| names.class(verb));
+    let class = class.ok_or_else(|| unusable("verb"))?;
+    let longest = names.give_up.get(class.0).copied().unwrap_or_default();
+    let limit = number("limit", millis(longest) * MOST_PATIENCE)?;
     if limit == 0.0 {
         return Err(unusable("limit"));
     }
-    let class = field("verb").and_then(|verb| names.class(verb));
-    let id = field("txn").filter(|txn| txn.len() <= 16);
-    let id = id.and_then(|txn| u64::from_str_radix(txn, 16).ok());
     Ok(NewRequest {
-        id: RequestId(id.ok_or_else(|| unusable("txn"))?),
-        class: class.ok_or_else(|| unusable("verb"))?,
+        id: field("txn").and_then(id).ok_or_else(|| unusable("txn"))?,
+        class,
         tenant: field("team").map(str::to_string),
         deadline: came + duration(micros(limit)),
-        work: micros(number("cpu")?),
-        memory_mb: number("memory")?,
+        work: micros(number("cpu", MOST_WORK_MS)?),
+        memory_mb: number("memory", MOST_MEMORY_MB)?,
         group: GroupId(group(text).unwrap_or_default()),
         statement,
         session,
     })
 }
 
+/// A request's name: 16 hexadecimal digits, which go on to an engine as they are.
+fn id(txn: &str) -> Option<RequestId> {
+    let digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    let named = txn.len() == 16 && txn.bytes().all(digit);
+    let id = u64::from_str_radix(txn, 16).ok().filter(|_| named);
+    id.map(RequestId)
+}
+
 /// The fields and the statement behind their comment.
 fn split(text: &str) -> Option<(&str, &str)> {
     let rest = text.trim_start().strip_prefix("/*")?;
@@ -311,6 +337,7 @@
     fn fields_that_cannot_be_used_are_named() {
         let names = Names {
             classes: vec!["lookup".to_string()],
+            give_up: vec![micros(2500.0)],
             ..Names::default()
         };
         let told = |text: &str| {
@@ -326,6 +353,18 @@
             (good.replace("lookup", "other"), "verb"),
             (good.replace("9b1f", "9b1fx"), "txn"),
             (good.replace("9b1f", "9b1f9b1f"), "txn"),
+            (good.replace("9b1f", ""), "txn"),
+            (good.replace("9b1f", "+b1f"), "txn"),
+            (good.replace("9b1f", "9B1F"), "txn"),
+            (good.replace("txn=9b1f03aa5c7e2d41,", ""), "txn"),
+            (good.replace("limit=1500,", ""), "limit"),
+            (good.replace("1500", "5001"), "limit"),
+            (good.replace("cpu=820.0", "verb=report"), "verb"),
+            (good.replace("cpu=820.0", "cpu"), "pairs"),
+            (good.replace("820.0", "-1"), "cpu"),
+            (good.replace("820.0", "1e300"), "cpu"),
+            (good.replace("cpu=820.0", "memory=1e12"), "memory"),
+            (good.replace("SELECT 1", " "), "no statement"),
             (good.replace("1500", "0"), "limit"),
             (good.replace("1500", "-1"), "limit"),
             (good.replace("1500", "NaN"), "limit"),
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -2,8 +2,9 @@
 
 use crate::engines;
 use crate::stage::{Peer, peer};
+use bytes::Bytes;
 use sedgebeam::broker::ToBroker;
-use sedgebeam::engine::{self, Attempt, End, EngineBox, Probe, Report, ToEngine};
+use sedgebeam::engine::{self, Attempt, End, EngineBox, Page, Probe, Report, ToEngine};
 use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
 use sedgebeam_settings::Connections;
 use std::time::Duration;
@@ -22,6 +23,7 @@
     let (engine, role) = peer();
     tokio::spawn(engines::resp(listener, role));
     let connections = Connections {
+        most: 3,
         max_streams: 2,
         connect_timeout: Micros::from_millis(5000),
         idle: Micros::from_millis(30_000),
@@ -62,6 +64,14 @@
         self.engine.say.send(words.to_string()).expect("an engine");
     }
 
+    /// The next report is that the attempt at this request ended so.
+    async fn ends(&mut self, id: u64, end: End) {
+        match self.report().await {
+            Report::Ended(request, _, ended) => assert_eq!((request.0, ended), (id, end)),
+            other => panic!("no end: {other:?}"),
+        }
+    }
+
     async fn report(&mut self) -> Report {
         match self.reports.recv().await {
             Some(ToBroker::Engine(EngineId(1), report)) => report,
@@ -130,32 +140,81 @@
 }
 
 #[test]
-fn attempts_beyond_what_a_connection_carries_go_on_another_and_end_with_it() {
+fn each_attempt_has_its_connection_while_there_may_be_more_and_ends_with_it() {
     inside(|| async {
         let mut bench = bench().await;
-        // Two on the first connection, then one on a second: each ends as its connection does.
         for id in 1..=3 {
             bench.send(id, 0).await;
             bench.hears(&format!("fetch {id}")).await;
         }
         // Nonsense on the connection of the third ends that one only.
         bench.says("3 raw nonsense\\r\\n");
-        let report = bench.report().await;
-        assert!(
-            matches!(report, Report::Ended(RequestId(3), _, End::Reset)),
-            "{report:?}"
-        );
+        bench.ends(3, End::Reset).await;
         bench.says("1 BUSY");
-        let report = bench.report().await;
-        assert!(
-            matches!(report, Report::Ended(RequestId(1), _, End::Busy)),
-            "{report:?}"
-        );
+        bench.ends(1, End::Busy).await;
+        bench.says("2 VOID");
+        bench.ends(2, End::Void).await;
+    });
+}
+
+#[test]
+fn a_spoilt_answer_ends_its_connection_though_that_stays_open() {
+    let id = "*4\\r\\n$16\\r\\n0000000000000001\\r\\n$2\\r\\nOK\\r\\n";
+    let spoilt = [
+        // Rows of another shape; a length that does not fit; one that stops short; a page that never comes.
+        "OK 1 a|b".to_string(),
+        "OK 1 a|b|c;d|e".to_string(),
+        "OK 99 a|b|c".to_string(),
+        format!("raw {id}$7\\r\\nparts=1\\r\\n$3\\r\\na\\tb\\tc\\n\\r\\n"),
+        format!("raw {id}$7\\r\\nparts=1\\r\\n$3000000000\\r\\n"),
+        format!("raw {id}$7\\r\\n"),
+        "OK 2 a|b|c".to_string(),
+    ];
+    for spoilt in spoilt {
+        inside(|| async {
+            let mut bench = bench().await;
+            bench.send(1, 0).await;
+            bench.hears("fetch 1").await;
+            bench.says(&format!("1 {spoilt}"));
+            bench.ends(1, End::Reset).await;
+        });
+    }
+}
+
+#[test]
+fn a_second_copy_and_an_unknown_name_ahead_do_no_harm() {
+    inside(|| async {
+        let mut bench = bench().await;
+        bench.send(1, 0).await;
+        bench.hears("fetch 1").await;
+        bench.says("9 OK 1 no|no|no");
+        bench.says("8 WHAT");
+        bench.says("old raw *3\\r\\n$4\\r\\nzzzz\\r\\n$3\\r\\nERR\\r\\n$1\\r\\n-\\r\\n");
+        bench.says("1 OK 2 a|b|c");
+        bench.hears("more 1 1").await;
+        bench.says("1 OK 2 a|b|c");
+        bench.says("1 ROWS 1 d|e|f");
+        let rows = Bytes::from_static(b"a\tb\tc\nd\te\tf\n");
+        let page = Page { rows, last: true };
+        let work = Some(Micros::from_millis(80));
+        let load = None;
+        bench.ends(1, End::Ok { page, work, load }).await;
+        // A copy of its refusal must not be taken for the answer to the next attempt.
+        bench.send(2, 0).await;
+        bench.hears("done 1").await;
+        bench.hears("fetch 2").await;
+        bench.says("2 BUSY");
+        bench.ends(2, End::Busy).await;
+        bench.send(2, 1).await;
+        bench.hears("fetch 2").await;
+        bench.says("old BUSY");
+        let id = "$16\\r\\n0000000000000002";
+        bench.says(&format!(
+            "old raw *3\\r\\n{id}\\r\\n$4\\r\\nBUSY\\r\\n$1\\r\\n-\\r\\n"
+        ));
+        bench.ask(ToEngine::Probe).await;
+        bench.hears("stats p1").await;
         bench.says("2 VOID");
-        let report = bench.report().await;
-        assert!(
-            matches!(report, Report::Ended(RequestId(2), _, End::Void)),
-            "{report:?}"
-        );
+        bench.ends(2, End::Void).await;
     });
 }
--- a/dispatcher/tests/scenarios/fronts.rs
+++ b/dispatcher/tests/scenarios/fronts.rs
@@ -28,10 +28,10 @@
         "C send report 1
          E expect fetch 1 kind=report,ms=
          E send 1 OK 2 a|b|c;d|e|f
-         C expect row a|b|c
-         C expect row d|e|f
          E expect more 1 1
          E send 1 ROWS 1 g|h|i
+         C expect row a|b|c
+         C expect row d|e|f
          C expect row g|h|i
          C expect complete 3",
     );
@@ -73,16 +73,61 @@
     );
 }
 
+#[test]
+fn what_names_no_tenant_or_an_open_request_is_an_error_and_goes_to_no_engine() {
+    for (client, other) in [("c1", "c2"), ("f1", "f2")] {
+        let mut stage = Stage::new(&["e1"]);
+        stage.play(&format!(
+            "{client} send report 1
+             e1 expect fetch 1
+             {other} send lookup 1
+             {other} expect error
+             {other} send lookup 2 1000 nobody
+             {other} expect error
+             e1 send 1 OK 1 a|b|c
+             {client} expect row a|b|c"
+        ));
+        assert!(stage.left("e1").is_empty(), "an engine was asked");
+    }
+}
+
 #[test]
 fn a_result_cut_short_ends_in_an_error() {
-    everywhere(
-        "C send report 1
-         E expect fetch 1
-         E send 1 OK 3 a|b|c
-         C expect row a|b|c
-         E send 1 ERR
-         C expect error",
-    );
+    for client in ["c1", "f1"] {
+        Stage::new(&["g1"]).play(&format!(
+            "{client} send report 1
+             g1 expect fetch 1
+             g1 send 1 OK 3 a|b|c
+             {client} expect row a|b|c
+             g1 send 1 ERR
+             {client} expect error"
+        ));
+        Stage::new(&["e1"]).play(&format!(
+            "{client} send journal-load 1
+             e1 expect fetch 1
+             e1 send 1 OK 3 a|b|c
+             e1 expect more 1 1
+             e1 send 1 ERR
+             {client} expect error"
+        ));
+    }
+}
+
+#[test]
+fn a_report_whose_page_is_lost_or_spoilt_is_run_again_and_passed_on_once() {
+    for (client, lost) in [("c1", "ERR"), ("f1", "ERR"), ("c1", "ROWS 7 x|y|z")] {
+        Stage::new(&["e1"]).play(&format!(
+            "{client} send report 1
+             e1 expect fetch 1
+             e1 send 1 OK 2 a|b|c
+             e1 expect more 1 1
+             e1 send 1 {lost}
+             e1 expect fetch 1
+             e1 send 1 OK 1 d|e|f
+             {client} expect row d|e|f
+             {client} expect complete 1"
+        ));
+    }
 }
 
 #[test]
@@ -127,18 +172,25 @@
 
 #[test]
 fn a_cancel_in_the_middle_of_a_stream_frees_the_engine() {
-    for (engine, freed) in [("e1", "done 1"), ("g1", "abort 1")] {
-        for away in ["close", "cancel"] {
-            Stage::new(&[engine]).play(&format!(
-                "f1 send report 1
-                 {engine} expect fetch 1
-                 {engine} send 1 OK 3 a|b|c
-                 f1 expect row a|b|c
-                 {engine} expect more 1 1
-                 f1 send {away}
-                 {engine} expect {freed}"
-            ));
-        }
+    for away in ["close", "cancel"] {
+        Stage::new(&["g1"]).play(&format!(
+            "f1 send report 1
+             g1 expect fetch 1
+             g1 send 1 OK 3 a|b|c
+             f1 expect row a|b|c
+             g1 expect more 1 1
+             f1 send {away}
+             g1 expect abort 1"
+        ));
+        Stage::new(&["e1"]).play(&format!(
+            "f1 send report 1
+             e1 expect fetch 1
+             e1 send 1 OK 3 a|b|c
+             e1 expect more 1 1
+             e1 expect more 1 2
+             f1 send {away}
+             e1 expect done 1"
+        ));
     }
 }
 
--- a/dispatcher/tests/scenarios/life.rs
+++ b/dispatcher/tests/scenarios/life.rs
@@ -219,10 +219,9 @@
 fn a_result_whose_engine_dies_in_the_middle_ends_in_an_error() {
     for client in ["c1", "f1"] {
         Stage::new(&["e1"]).play(&format!(
-            "{client} send report 1
+            "{client} send journal-load 1
              e1 expect fetch 1
              e1 send 1 OK 2 a|b|c
-             {client} expect row a|b|c
              e1 expect more 1 1
              e1 close
              {client} expect error"
--- a/dispatcher/tests/scenarios/pg_client.rs
+++ b/dispatcher/tests/scenarios/pg_client.rs
@@ -1,4 +1,4 @@
-//! A client of the PostgreSQL protocol: `send CLASS ID [LIMIT]` asks, `send cancel` calls off.
+//! A client of the PostgreSQL protocol: `send CLASS ID [LIMIT [TEAM]]` asks, `send cancel` calls off.
 
 use crate::stage::Role;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,13 +10,14 @@
     let mut words = words.split(' ');
     let (class, id) = (words.next().unwrap_or(""), words.next().unwrap_or("0"));
     let limit = words.next().unwrap_or("60000");
+    let team = words.next().unwrap_or("acme");
     let verb = if class == "journal-load" {
         "INSERT INTO"
     } else {
         "SELECT * FROM"
     };
     format!(
-        "/* verb={class},txn={id:0>16},limit={limit},team=acme,cpu=80.0,memory=10 */ {verb} sales_{id}.orders"
+        "/* verb={class},txn={id:0>16},limit={limit},team={team},cpu=80.0,memory=10 */ {verb} sales_{id}.orders"
     )
 }
 
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -191,6 +191,7 @@
             .filter(|line| !line.is_empty())
         {
             let mut parts = line.splitn(3, ' ');
+            println!("{line}");
             let (who, verb) = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
             let words = parts.next().unwrap_or("");
             match (who, verb) {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -100,6 +100,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     pub classes: Vec<String>,
+    /// By class, when a client gives up.
+    pub give_up: Vec<Micros>,
     pub tenants: Vec<String>,
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
@@ -109,6 +111,8 @@
 /// How connections to engines are kept; the decision module is not told.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Connections {
+    /// Connections to one engine at the most.
+    pub most: usize,
     pub max_streams: usize,
     pub connect_timeout: Micros,
     pub idle: Micros,
@@ -200,7 +204,8 @@
         let services = list(&self.services).iter();
         let tenants = list(&self.tenants).iter();
         Names {
-            classes: services.map(|service| service.name.clone()).collect(),
+            classes: services.clone().map(|s| s.name.clone()).collect(),
+            give_up: services.map(|service| time(service.give_up)).collect(),
             tenants: tenants.map(|tenant| tenant.name.clone()).collect(),
             kinds: list(&self.kinds).to_vec(),
             zones: list(&self.zones).to_vec(),
@@ -211,6 +216,7 @@
     pub fn connections(&self) -> Connections {
         let limits = self.limits.clone().unwrap_or_default();
         Connections {
+            most: 24,
             max_streams: limits.max_streams.unwrap_or(32).max(1) as usize,
             connect_timeout: micros(limits.connect_timeout.unwrap_or(250.0)),
             idle: micros(limits.conn_idle.unwrap_or(30_000.0)),
