Let what stands still behind a load go elsewhere, and blame engines only for what others can do

Now an error or reset counts only once another engine has answered the same request (blame), two in a row set aside. Lookups were late (4.5 to 16% of a window) behind loads of other dispatchers: the note 'waits for a load' was ignored (Gateway::note). It now has its group count as held there for 0.8 s and the attempt is called off and goes elsewhere.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,8 +42,12 @@
 const USUAL_RANK: f64 = 0.4;
 /// An engine counts at no less than this share of its cores, however slow it looks.
 const LEAST_PACE: f64 = 0.2;
-/// Refused connects in a row before an engine is set aside; a reset, an error or silence counts as so many.
+/// Refused connects in a row before an engine is set aside; silence counts as so many.
 const STRIKES: u32 = 2;
+/// Weight of an answer, or of a fault, in the share of faults among what an engine was sent lately, and the
+/// share beyond which it is set aside: two in a row, with no answer between.
+const FAULT_GAIN: f64 = 0.25;
+const MOST_FAULTS: f64 = 0.4;
 /// First rest of an engine set aside, doubled at most `REST_DOUBLINGS` times; twice it, that of the list.
 const REST: Micros = Micros::from_millis(1000);
 const REST_DOUBLINGS: u32 = 2;
@@ -71,6 +75,8 @@
 const RATIO_CAP: f64 = 1.5;
 /// A keyed repeat stays this far inside its window: a send takes time to arrive.
 const WINDOW_MARGIN: Micros = Micros::from_millis(50);
+/// A load of another gateway, known by what stands still behind it, counts as running for this long.
+const HELD_LASTS: Micros = Micros::from_millis(800);
 /// Time between looks at what is waiting or out.
 const LOOK_EVERY: Micros = Micros::from_millis(10);
 /// What an engine told of its load counts for this long; later it is taken for a middling one.
@@ -490,7 +496,7 @@
         let mut eligible = self.eligible(request);
         // Behind a load of its own group a query would hold memory and threads and stand still; loads
         // leave most engines free of their group for the queries that would wait.
-        let held = |engine: &EngineView| engine.held.contains(&group);
+        let held = |engine: &EngineView| self.held_there(engine, group);
         if class.holds_group || class.waits_for_load {
             let holding = eligible.iter().filter(|engine| held(engine)).count();
             if class.holds_group && holding as f64 > LOADED_SHARE * eligible.len() as f64 {
@@ -596,6 +602,34 @@
         Some(())
     }
 
+    /// Whose fault a reset or an error was shows only once another engine has answered the same request well:
+    /// a request that no engine can use, of which a bad client sends hundreds, says nothing of engines. What
+    /// may not be sent again counts at once.
+    fn blame(&mut self, id: RequestId, to: EngineId, outcome: Outcome) -> Option<()> {
+        let request = self.requests.get(&id)?;
+        let failed = |how: &Outcome| matches!(how, Outcome::Reset | Outcome::Error);
+        let mut faulty: Vec<EngineId> = Vec::new();
+        if outcome == Outcome::Ok {
+            let earlier = request.attempts.iter();
+            let earlier =
+                earlier.filter(|a| a.engine != to && a.outcome.as_ref().is_some_and(failed));
+            faulty.extend(earlier.map(|attempt| attempt.engine));
+            self.engines.get_mut(&to)?.faults *= 1.0 - FAULT_GAIN;
+        } else if self.settings.classes[request.class].effect == Effect::Once {
+            faulty.push(to);
+        }
+        for id in faulty {
+            let Some(engine) = self.engines.get_mut(&id) else {
+                continue;
+            };
+            engine.faults += FAULT_GAIN * (1.0 - engine.faults);
+            if engine.faults > MOST_FAULTS {
+                self.strike(id, STRIKES, "fails what others can do");
+            }
+        }
+        Some(())
+    }
+
     /// Whether an answer tells of a crowd: it took long for its work, or by its report more runs or is
     /// granted on the engine than it can bear. A line for memory is no crowd: it costs no work.
     fn tells_of_a_crowd(&self, request: &Request, end: &Ended) -> bool {
@@ -777,8 +811,9 @@
         }
         match end.outcome {
             Outcome::ConnectFailed => self.strike(to, 1, "refuses connections"),
-            Outcome::Reset => self.strike(to, STRIKES, "broke its connections"),
-            Outcome::Error => self.strike(to, STRIKES, "fails what it is sent"),
+            Outcome::Reset | Outcome::Error | Outcome::Ok => {
+                self.blame(end.request, to, end.outcome)
+            }
             Outcome::Full => self.pressed(to),
             _ => None,
         };
@@ -893,13 +928,37 @@
                 self.pressed(to)
             }
             Note::WaitsForMemory => self.pressed(to),
-            Note::Progress(_) | Note::WaitsForLoad => None,
+            Note::WaitsForLoad => self.stands_still(id, number, to),
+            Note::Progress(_) => None,
         };
         let request = self.requests.get_mut(&id)?;
         request.attempts[number.0 as usize].noted_at = self.now;
         self.heard(to, true, None)
     }
 
+    /// An attempt stands still behind a load, maybe of another gateway: its group is held there for a while,
+    /// and it goes elsewhere, as it has done nothing yet.
+    fn stands_still(&mut self, id: RequestId, number: AttemptNo, to: EngineId) -> Option<()> {
+        let group = self.requests.get(&id)?.query.group;
+        let until = self.now + HELD_LASTS;
+        self.engines.get_mut(&to)?.holds(group, until);
+        let request = self.requests.get(&id)?;
+        let free = |engine: &EngineView| {
+            engine.listed() && !engine.rests(self.now) && !self.held_there(engine, group)
+        };
+        let mut others = self.engines.values().filter(|engine| free(engine));
+        if !others.any(|engine| self.has_slot(engine, request)) {
+            return None;
+        }
+        self.replan(id, number)
+    }
+
+    fn held_there(&self, engine: &EngineView, group: GroupId) -> bool {
+        let told = engine.held_by_others.iter();
+        let mut told = told.filter(|(_, until)| self.now < *until);
+        engine.held.contains(&group) || told.any(|(held, _)| *held == group)
+    }
+
     /// Whether an attempt needs far more than a fresh one: guards against bad plans and lost attempts.
     /// What may stand still behind a load is not judged, nor a slow class or engine taken for a bad plan;
     /// what looks bad again at each try is a big query or a crowd, so each try gets twice the time.
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,8 +111,12 @@
     pub asked_at: Micros,
     /// Table groups that loads of this gateway hold there.
     pub held: Vec<GroupId>,
+    /// Table groups that loads of other gateways hold there, as far as is known, and until when.
+    pub held_by_others: Vec<(GroupId, Micros)>,
     pub heard_at: Micros,
     pub strikes: u32,
+    /// Share of faults among what it was sent lately.
+    pub faults: f64,
     pub failed_trials: u32,
     pub rests_until: Option<Micros>,
     /// Work sent in the last cold window.
@@ -129,7 +133,8 @@
         (self.cores, self.memory_mb) = (kind.cores.max(1.0), kind.memory_mb);
         if entry.started_at > self.entry.started_at {
             (self.rests_until, self.told) = (None, None);
-            (self.strikes, self.failed_trials, self.pace) = (0, 0, 0.0);
+            (self.strikes, self.failed_trials) = (0, 0);
+            (self.faults, self.pace) = (0.0, 0.0);
         }
         self.entry = entry;
     }
@@ -145,6 +150,11 @@
         }
     }
 
+    pub fn holds(&mut self, group: GroupId, until: Micros) {
+        self.held_by_others.retain(|(held, _)| *held != group);
+        self.held_by_others.push((group, until));
+    }
+
     /// Notes the work of a send, for the window in which a cold engine counts it.
     pub fn sent(&mut self, now: Micros, window: Micros, work: f64) {
         self.sends.retain(|(at, _)| *at + window > now);
