Try what got lost elsewhere though a load might hold it, and size buffers from the limits

Gateway::bad_plan exempted every class that may wait for loads. Now one that has said nothing is judged, at eight times a fresh attempt. Also: sessions, the longest message and open requests follow the limits stated, in config (before: 256 KB times 140 sessions were more than 32 MB); a Flight client that stops in its preface and an idle one of the administration are closed within 2.5 s, as they hold few places.

--- a/dispatcher/src/admin.rs
+++ b/dispatcher/src/admin.rs
@@ -27,8 +27,8 @@
 const MOST_BODY: usize = 16 * 1024;
 /// Connections at once; more wait to be accepted.
 const MOST_CONNECTIONS: usize = 8;
-/// A connection on which nothing is asked for this long is closed.
-const IDLE: Duration = Duration::from_secs(30);
+/// A connection on which nothing whole is asked for this long is closed: the places are few.
+const IDLE: Duration = Duration::from_millis(2500);
 
 /// A request, decoded.
 #[derive(Debug, PartialEq, Eq)]
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -8,6 +8,17 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// The share of the descriptors that sessions may hold: the platform's clients hold a third.
+const SESSIONS_PART: f64 = 0.55;
+/// The share of the memory that messages may fill which come to all sessions at once, and its bounds for one.
+const MESSAGES_PART: f64 = 0.25;
+const SHORTEST_MESSAGE: usize = 16 * 1024;
+const LONGEST_MESSAGE: usize = 256 * 1024;
+/// Where the file states no limits.
+const MEMORY_MB: f64 = 256.0;
+const SOCKETS: u64 = 1024;
+/// Requests that may be open at once for each megabyte.
+const OPEN_PER_MB: f64 = 64.0;
 /// The share of the descriptors that connections to engines may hold; sessions have their own.
 const ENGINES_PART: f64 = 0.35;
 /// Engines that may come on top of those that are known.
@@ -27,7 +38,10 @@
     pub changelog: Option<SocketAddr>,
     pub known: Known,
     pub seed: u64,
-    pub sockets: usize,
+    /// Sessions of the PostgreSQL protocol at once.
+    pub sessions: usize,
+    /// The longest message that one of them may send.
+    pub message: usize,
     pub settings: Settings,
     pub names: Names,
     pub connections: Connections,
@@ -97,6 +111,7 @@
 #[derive(Default, Deserialize)]
 struct Limits {
     sockets: Option<u64>,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Default, Deserialize)]
@@ -270,13 +285,13 @@
     let changelog = platform.changelog.or(own.changelog);
     let facts = platform.settings.or(own.settings);
     let facts = facts.ok_or_else(|| wrong("settings", "missing"))?;
-    let sockets = platform
-        .limits
-        .or(own.limits)
-        .and_then(|limits| limits.sockets);
-    let sockets = sockets.unwrap_or(1024).max(64) as usize;
+    let limits = platform.limits.or(own.limits).unwrap_or_default();
+    let sockets = limits.sockets.unwrap_or(SOCKETS).max(64) as usize;
+    let memory_mb = limits.memory_mb.unwrap_or(MEMORY_MB).max(16.0);
+    let sessions = (sockets as f64 * SESSIONS_PART) as usize;
     let known = known(platform.known.or(own.known), own.engines)?;
     let mut connections = facts.connections();
+    connections.max_open = connections.max_open.min((memory_mb * OPEN_PER_MB) as usize);
     connections.most = engine_connections(sockets, roster::fold(known.changes.clone()).len());
     let name = environment.name.clone().or(platform.name).or(own.name);
     let seeded = platform.seed.or(own.seed);
@@ -288,13 +303,20 @@
         changelog: address("changelog", changelog.as_deref())?,
         known,
         seed: seed(seeded.as_deref())?,
-        sockets,
+        sessions,
+        message: message(memory_mb, sessions),
         settings: settings(&facts)?,
         names: facts.names(),
         connections,
     })
 }
 
+/// The longest message: guards against sessions that all send the longest one at once.
+fn message(memory_mb: f64, sessions: usize) -> usize {
+    let part = memory_mb * 1024.0 * 1024.0 * MESSAGES_PART / sessions as f64;
+    (part as usize).clamp(SHORTEST_MESSAGE, LONGEST_MESSAGE)
+}
+
 /// Connections to one engine: its part of what descriptors engines may hold, with room for new engines.
 fn engine_connections(sockets: usize, engines: usize) -> usize {
     let part = (sockets as f64 * ENGINES_PART) as usize / (engines + NEW_ENGINES);
@@ -310,6 +332,20 @@
         faulty::<File>(&root)
     }
 
+    #[test]
+    fn buffers_and_connections_fit_the_limits_stated() {
+        for (memory_mb, sockets, engines) in [(32.0, 256, 5), (192.0, 1024, 10), (16.0, 64, 30)] {
+            let sessions = (sockets as f64 * SESSIONS_PART) as usize;
+            let filled = message(memory_mb, sessions) * sessions;
+            assert!(
+                filled as f64 <= memory_mb * 1024.0 * 1024.0 / 2.0,
+                "{filled}"
+            );
+            let held = engine_connections(sockets, engines) * engines + sessions;
+            assert!(held < sockets || sockets == 64, "{held} of {sockets}");
+        }
+    }
+
     #[test]
     fn the_faulty_key_is_named() {
         let cases = [
--- a/dispatcher/src/front/incoming.rs
+++ b/dispatcher/src/front/incoming.rs
@@ -1,4 +1,5 @@
 //! Connections of Flight SQL clients: so many at once, and each gives its place back when it is dropped.
+//! One that says nothing, or stops in its preface, is closed: it would keep its place from others for good.
 
 use std::io;
 use std::pin::Pin;
@@ -8,13 +9,21 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Sleep, sleep};
 use tonic::transport::server::Connected;
 
 /// A pause after an accept that failed, so that a lack of descriptors does not spin.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// The length of the preface of HTTP/2, and the time within which it must have come.
+const PREFACE: usize = 24;
+const PREFACE_LIMIT: Duration = Duration::from_secs(2);
+
 pub struct Placed {
     stream: TcpStream,
+    /// Bytes of the preface that are still to come, and when they must have.
+    missing: usize,
+    limit: Pin<Box<Sleep>>,
     _place: OwnedSemaphorePermit,
 }
 
@@ -32,13 +41,15 @@
                 Ok((stream, _)) => {
                     let placed = stream.set_nodelay(true).map(|()| Placed {
                         stream,
+                        missing: PREFACE,
+                        limit: Box::pin(sleep(PREFACE_LIMIT)),
                         _place: place,
                     });
                     return Some((placed, (listener, places)));
                 }
                 Err(error) => {
                     log::warn!("accepting Flight SQL clients: {error}");
-                    tokio::time::sleep(PAUSE).await;
+                    sleep(PAUSE).await;
                 }
             }
         }
@@ -56,7 +67,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let came = buffer.filled().len() - before;
+        self.missing = self.missing.saturating_sub(came);
+        if polled.is_pending() && self.missing > 0 && self.limit.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        polled
     }
 }
 
--- a/dispatcher/src/front/pg/codec.rs
+++ b/dispatcher/src/front/pg/codec.rs
@@ -5,8 +5,6 @@
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
 
-/// The longest message that a client may send.
-const MOST_MESSAGE: usize = 256 * 1024;
 const MOST_STARTUP: usize = 10_000;
 /// Columns of every result.
 pub const COLUMNS: usize = 3;
@@ -50,9 +48,10 @@
     pub hint: Option<String>,
 }
 
-#[derive(Default)]
 pub struct Pg {
     started: bool,
+    /// The longest message that a client may send.
+    most: usize,
 }
 
 fn invalid(why: &str) -> io::Error {
@@ -60,6 +59,11 @@
 }
 
 impl Pg {
+    pub fn new(most: usize) -> Pg {
+        let started = false;
+        Pg { started, most }
+    }
+
     fn startup(&mut self, mut body: Bytes) -> io::Result<Said> {
         let code = body
             .try_get_u32()
@@ -85,7 +89,7 @@
 
     fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<Said>> {
         let (head, most) = if self.started {
-            (1, MOST_MESSAGE)
+            (1, self.most)
         } else {
             (0, MOST_STARTUP)
         };
@@ -239,12 +243,13 @@
     use super::*;
 
     fn decode(started: bool, bytes: &[u8]) -> io::Result<Option<Said>> {
-        Pg { started }.decode(&mut BytesMut::from(bytes))
+        let most = 4096;
+        Pg { started, most }.decode(&mut BytesMut::from(bytes))
     }
 
     #[test]
     fn the_first_query_may_come_with_the_start() {
-        let mut codec = Pg::default();
+        let mut codec = Pg::new(4096);
         let mut bytes = BytesMut::from(&b"\0\0\0\x09\0\x03\0\0\0Q\0\0\0\x06;\0"[..]);
         assert_eq!(
             codec.decode(&mut bytes).expect("is read"),
@@ -284,7 +289,7 @@
             (b"a\tb\tc\td\ncut", 1),
         ] {
             let mut bytes = BytesMut::new();
-            Pg::default()
+            Pg::new(4096)
                 .encode(Say::Rows(page(rows)), &mut bytes)
                 .expect("encodes");
             let mut found = 0;
--- a/dispatcher/src/front/pg/mod.rs
+++ b/dispatcher/src/front/pg/mod.rs
@@ -33,10 +33,11 @@
     key: SessionKey,
     ending: watch::Receiver<bool>,
     place: Place,
+    longest: usize,
 ) {
     let gives_way = place.gives_way();
     let session = Session {
-        wire: Framed::new(stream, Pg::default()),
+        wire: Framed::new(stream, Pg::new(longest)),
         shared,
         key,
         ending,
@@ -61,7 +62,8 @@
         hint: Some("try again in 1000 ms".to_string()),
     };
     let mut bytes = BytesMut::new();
-    if Pg::default().encode(Say::Error(told), &mut bytes).is_ok()
+    // Nothing is read with this one.
+    if Pg::new(0).encode(Say::Error(told), &mut bytes).is_ok()
         && let Err(error) = stream.try_write(&bytes)
     {
         log::debug!("a connection that was turned away: {error}");
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -20,8 +20,6 @@
 
 /// For so long after SIGTERM connections and requests go on coming, with some to spare.
 const LAST_CALL: Duration = Duration::from_millis(700);
-/// The share of the descriptors that sessions may hold: the platform's clients hold a third.
-const SESSIONS_PART: f64 = 0.55;
 /// Flight SQL clients at once.
 const FLIGHT_CONNECTIONS: usize = 96;
 /// Calls that one Flight SQL client may have under way.
@@ -108,7 +106,8 @@
         shared,
         ending,
         alive,
-        places: Places::new((config.sockets as f64 * SESSIONS_PART) as usize),
+        places: Places::new(config.sessions),
+        message: config.message,
         next: config.seed,
     };
     let accepting = supervise::vital("accepting", sessions.accept(listener, end.subscribe()));
@@ -151,6 +150,7 @@
     ending: watch::Receiver<bool>,
     alive: mpsc::Sender<()>,
     places: Places,
+    message: usize,
     next: u64,
 }
 
@@ -193,6 +193,7 @@
             SessionKey(self.next),
             self.ending.clone(),
             place,
+            self.message,
         );
         let alive = self.alive.clone();
         let task = async move {
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -4,7 +4,8 @@
 //! hears next begins with the words; `close` ends a peer; `wait` waits for words in the program's log.
 //! What a peer hears is queued for it, so nothing depends on how fast anything is. Peers are made by
 //! their names: `c1` a PostgreSQL client, `f1` a Flight SQL client, `e1` an engine that speaks RESP,
-//! `g1` one that speaks Flight SQL, `adm` the administration, `log` the change log, `tcp` bare bytes; `app` is the
+//! `g1` one that speaks Flight SQL, `adm` the administration, `log` the change log, `tcp` bare bytes (`tf` and `ta` to
+//! the Flight SQL front and the administration); `app` is the
 //! program: `send reload LOG` and `send half` replace its file and tell it, `close` ends it in order.
 
 use crate::{engines, flight_client, flight_engine, pg_client};
@@ -236,7 +237,12 @@
             "c" => drop(self.runtime.spawn(pg_client::run(address("c"), role))),
             "f" => drop(self.runtime.spawn(flight_client::run(address("f"), role))),
             "a" => drop(self.runtime.spawn(administrator(address("a"), role))),
-            "t" => drop(self.runtime.spawn(bare(address("c"), role))),
+            "t" => {
+                let kind = ["f", "a"]
+                    .into_iter()
+                    .find(|kind| who[1..].starts_with(kind));
+                drop(self.runtime.spawn(bare(address(kind.unwrap_or("c")), role)));
+            }
             _ => panic!("no peer {who}"),
         }
         self.peers.insert(who.to_string(), peer);
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -35,12 +35,17 @@
 
 #[test]
 fn what_begins_and_never_ends_is_closed() {
-    // Half a start; a start and half a query; and a connection that says nothing at all.
+    // Half a start; a start and half a query; nothing at all; half a preface of HTTP/2; half a head.
     Stage::new(&["e1"]).play(
         "tcp1 send 0000000c 0003
          tcp2 send 00000009 00030000 00 51000000ff
          tcp2 expect 52
          tcp3 send
+         tf send 505249
+         ta send 47455420
+         tf expect 0000
+         tf expect closed
+         ta expect closed
          tcp1 expect closed
          tcp2 expect closed
          tcp3 expect closed",
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,6 +59,8 @@
 const BAD_PLAN: f64 = 2.5;
 /// Without a note, an attempt is overdue after this many times what a fresh one takes.
 const OVERDUE: f64 = 5.0;
+/// The same for what might stand still behind a load, whose time scatters more.
+const OVERDUE_HELD: f64 = 8.0;
 /// Share of the gateway's part of a cold engine's budget that is used: estimates scatter.
 const COLD_MARGIN: f64 = 0.5;
 /// Grant over the estimate before anything is learned.
@@ -960,12 +962,14 @@
     }
 
     /// Whether an attempt needs far more than a fresh one: guards against bad plans and lost attempts.
-    /// What may stand still behind a load is not judged, nor a slow class or engine taken for a bad plan;
-    /// what looks bad again at each try is a big query or a crowd, so each try gets twice the time.
+    /// What stands still behind a load says so at once and is not judged; what has said nothing got lost. No
+    /// slow class or engine is taken for a bad plan; what looks bad again at each try is a big query or a
+    /// crowd, so each try gets twice the time.
     fn bad_plan(&self, request: &Request, attempt: &Attempt, done: Option<f64>) -> bool {
         let usual = &self.usual[request.class];
         let class = &self.settings.classes[request.class];
-        let still = class.holds_group || class.waits_for_load;
+        let said = done.is_some() || attempt.noted_at > Micros(0);
+        let still = class.holds_group || (class.waits_for_load && said);
         let Some((ratio, took)) = usual.ratio.zip(usual.took.0).filter(|_| !still) else {
             return false;
         };
@@ -978,9 +982,14 @@
         let fresh_now = fresh * slow.exp().max(1.0) * tries;
         let spent = (self.now - attempt.sent_at).0 as f64;
         let noted = self.now < attempt.noted_at + self.settings.note_every.times(SILENT_NOTES);
+        let patience = if class.waits_for_load {
+            OVERDUE_HELD
+        } else {
+            OVERDUE
+        };
         let bad = match done {
             Some(done) => spent * (1.0 - done) / done.max(0.001) > BAD_PLAN * fresh_now,
-            None => !noted && spent > OVERDUE * fresh_now,
+            None => !noted && spent > patience * fresh_now,
         };
         bad && self.now.0 as f64 + fresh < request.deadline.0 as f64
     }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -229,3 +229,19 @@
     let next = sent_to(&bench.request(2, HEAVY));
     assert!(next.is_some_and(|next| next != held), "{next:?}");
 }
+
+/// Without this a request that an engine lost was waited for until its deadline: lookups may wait for loads.
+#[test]
+fn what_has_said_nothing_got_lost_also_where_a_load_might_hold_it() {
+    let mut settings = settings();
+    settings.classes[LIGHT].waits_for_load = true;
+    let mut bench = Bench::with_engines(settings, 3);
+    probe(&mut bench, 10, 30);
+    bench.request(1, LIGHT);
+    let cancel = Action::Cancel {
+        request: RequestId(1),
+        attempt: AttemptNo(0),
+    };
+    assert_eq!(bench.wait(350), vec![], "seven times a fresh one");
+    assert_eq!(bench.wait(100), vec![cancel]);
+}
