Ping Flight engines while calls are under way, and write what is guarded against

Seen in the code: a Flight connection that stays open and says nothing held its calls until their deadlines, and new attempts were put on it (engine/flight.rs, Actor::lane): the RESP side lets such a one go, this did not. HTTP/2 pings every 0.7 s end it; the scenario waits for a whole minute without. Batches of other than three columns are spoilt (arrow.rs passed three of four on). Groups that loads of others held are forgotten once their time is over (state.rs).

--- a/dispatcher/src/arrow.rs
+++ b/dispatcher/src/arrow.rs
@@ -41,6 +41,10 @@
         let column = column.and_then(|column| column.as_string_opt::<i32>());
         column.ok_or_else(|| Status::data_loss("a result that is not of three text columns"))
     };
+    // One column more would be dropped without a word.
+    if batch.num_columns() != COLUMNS {
+        return Err(Status::data_loss("a result that is not of three columns"));
+    }
     let columns = [text(0)?, text(1)?, text(2)?];
     let mut rows = BytesMut::new();
     for row in 0..batch.num_rows() {
--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -39,6 +39,9 @@
 /// Pages that may be asked for at once: their reader asks for one at a time.
 const MAILBOX: usize = 4;
 const EVENTS: usize = 1024;
+/// While calls are under way, a connection is pinged so often, and must answer within as long: one that is of
+/// no further use though it stays open would hold its calls, and those that come after them.
+const ALIVE: Duration = Duration::from_millis(700);
 /// The largest message of an engine.
 const MOST_MESSAGE: usize = 256 * 1024;
 
@@ -301,6 +304,8 @@
     let address = endpoint.trim_start_matches(super::FLIGHT_SCHEME);
     let endpoint = Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(limit)
+        .http2_keep_alive_interval(ALIVE)
+        .keep_alive_timeout(ALIVE)
         .tcp_nodelay(true);
     endpoint.connect().await
 }
--- a/dispatcher/tests/scenarios/engines.rs
+++ b/dispatcher/tests/scenarios/engines.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Hears `taken` for each connection, and keeps it open without a word.
+pub async fn mute(listener: TcpListener, role: Role) {
+    let mut kept = Vec::new();
+    loop {
+        kept.push(listener.accept().await.expect("accepts"));
+        let _ = role.heard.send("taken".to_string());
+    }
+}
+
 async fn accept(listener: Option<&TcpListener>) -> TcpStream {
     match listener {
         Some(listener) => listener.accept().await.expect("accepts").0,
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -4,7 +4,8 @@
 //! hears next begins with the words; `close` ends a peer; `wait` waits for words in the program's log.
 //! What a peer hears is queued for it, so nothing depends on how fast anything is. Peers are made by
 //! their names: `c1` a PostgreSQL client, `f1` a Flight SQL client, `e1` an engine that speaks RESP,
-//! `g1` one that speaks Flight SQL, `adm` the administration, `log` the change log, `tcp` bare bytes (`tf` and `ta` to
+//! `g1` one that speaks Flight SQL, `m1` one that
+//! takes connections and says nothing, `adm` the administration, `log` the change log, `tcp` bare bytes (`tf` and `ta` to
 //! the Flight SQL front and the administration); `app` is the
 //! program: `send reload LOG` and `send half` replace its file and tell it, `close` ends it in order.
 
@@ -98,7 +99,7 @@
                 .expect("a port");
             let address = listener.local_addr().expect("an address").to_string();
             let endpoint = match &name[..1] {
-                "g" => format!("grpc://{address}"),
+                "g" | "m" => format!("grpc://{address}"),
                 _ => address.clone(),
             };
             match &name[..1] {
@@ -110,6 +111,10 @@
                     runtime.spawn(flight_engine::serve(listener, role));
                     targets.push(target(name, &endpoint, "up"));
                 }
+                "m" => {
+                    runtime.spawn(engines::mute(listener, role));
+                    targets.push(target(name, &endpoint, "up"));
+                }
                 _ => {
                     runtime.spawn(engines::changelog(listener, role));
                     // Others than the first are for a reload.
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -136,3 +136,14 @@
         );
     }
 }
+
+#[test]
+fn a_flight_engine_that_stays_open_and_says_nothing_is_let_go_before_the_deadline() {
+    for client in ["c1", "f1"] {
+        Stage::new(&["m1"]).play(&format!(
+            "{client} send journal-load 1
+             m1 expect taken
+             {client} expect error"
+        ));
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -942,8 +942,8 @@
     /// and it goes elsewhere, as it has done nothing yet.
     fn stands_still(&mut self, id: RequestId, number: AttemptNo, to: EngineId) -> Option<()> {
         let group = self.requests.get(&id)?.query.group;
-        let until = self.now + HELD_LASTS;
-        self.engines.get_mut(&to)?.holds(group, until);
+        let (now, until) = (self.now, self.now + HELD_LASTS);
+        self.engines.get_mut(&to)?.holds(group, now, until);
         let request = self.requests.get(&id)?;
         let free = |engine: &EngineView| {
             engine.listed() && !engine.rests(self.now) && !self.held_there(engine, group)
--- a/src/state.rs
+++ b/src/state.rs
@@ -150,8 +150,9 @@
         }
     }
 
-    pub fn holds(&mut self, group: GroupId, until: Micros) {
-        self.held_by_others.retain(|(held, _)| *held != group);
+    pub fn holds(&mut self, group: GroupId, now: Micros, until: Micros) {
+        self.held_by_others
+            .retain(|(held, until)| *held != group && *until > now);
         self.held_by_others.push((group, until));
     }
 
