Take back as unwritten only what no connection can have written

Seen in the code and then in a test: when the list says that an engine drains, nothing_new in engine/resp/mod.rs took back every attempt whose connection it had not heard to be up, as one that never ran. A connection that had just come up and written the attempt was among them, so a load could be sent again though its engine had it; and while the first was reported, others of these connections could still come up and write. The actor now hears what came from connections first and lets all of them go before it reports; engine/flight.rs lets all calls go first too.

--- a/dispatcher/src/engine/flight.rs
+++ b/dispatcher/src/engine/flight.rs
@@ -160,12 +160,11 @@
                 .is_some_and(|lane| lane.opening.peek().is_none())
         };
         let waiting = self.running.extract_if(|_, running| opening(running.lane));
-        let waiting: Vec<(RequestId, Running)> = waiting.collect();
-        for (id, running) in waiting {
-            drop(running.kept);
-            self.reports
-                .ended(id, running.number, End::ConnectFailed)
-                .await;
+        // All of them end here, before the first is told of: a connection might come up meanwhile.
+        let waiting = waiting.map(|(id, running)| (id, running.number));
+        let waiting: Vec<(RequestId, AttemptNo)> = waiting.collect();
+        for (id, number) in waiting {
+            self.reports.ended(id, number, End::ConnectFailed).await;
         }
     }
 
--- a/dispatcher/src/engine/resp/mod.rs
+++ b/dispatcher/src/engine/resp/mod.rs
@@ -92,7 +92,13 @@
     loop {
         tokio::select! {
             message = mailbox.recv() => match message {
-                Some(message) => actor.take(message).await,
+                Some(message) => {
+                    // That a connection is up is known before anything is taken back as unwritten.
+                    while let Ok((number, came)) = incoming.try_recv() {
+                        actor.came(number, came).await;
+                    }
+                    actor.take(message).await;
+                }
                 // Attempts and results hold a sender of the mailbox: none is left.
                 None => return,
             },
@@ -375,12 +381,15 @@
         self.down(number, &[]).await;
     }
 
-    /// What waits for a connection to come up has not been written and is taken back.
+    /// What waits for a connection to come up has not been written and is taken back. All these connections
+    /// go before the first is told of: while that waits for the broker, another might come up and write.
     async fn nothing_new(&mut self) {
         let waiting = self.out.extract_if(|_, out| out.unwritten);
         let waiting: Vec<(RequestId, Out)> = waiting.collect();
-        for (id, out) in waiting {
+        for (_, out) in &waiting {
             self.connections.remove(&out.connection);
+        }
+        for (id, out) in waiting {
             self.reports.ended(id, out.number, End::ConnectFailed).await;
         }
     }
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -218,3 +218,26 @@
         bench.ends(2, End::Void).await;
     });
 }
+
+#[test]
+fn what_has_been_written_is_never_said_to_be_unwritten_when_its_engine_drains() {
+    // At some of these moments the connection has just come up and written it, and the actor not heard so.
+    for moment in 0..200 {
+        inside(|| async {
+            let mut bench = bench().await;
+            bench.send(1, 0).await;
+            for _ in 0..moment % 20 {
+                tokio::task::yield_now().await;
+            }
+            bench.ask(ToEngine::NothingNew).await;
+            bench.ask(ToEngine::Probe).await;
+            let heard = bench.engine.heard.recv().await.expect("words");
+            if heard.starts_with("stats") {
+                return;
+            }
+            assert!(heard.starts_with("fetch 1"), "{heard}");
+            bench.says("1 VOID");
+            bench.ends(1, End::Void).await;
+        });
+    }
+}
