Take an attempt of which its engine tells nothing for lost

The trace shows lost reports too: no note and no answer until their deadline of 13 s, while notes come twice a second of all others and the engine answers lookups. Each held four threads of this dispatcher's part, which is why new ones were refused. Gateway::look asked only whether the engine as a whole was silent, and bad_plan allows eight times a fresh report. Ruled out: engines set aside, capacity of the fleet. The test fails without.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1033,7 +1033,10 @@
                 if out && unheard {
                     silent.insert(to);
                 }
-                if out && (unheard || self.bad_plan(request, attempt, None)) {
+                // An engine that is well tells of each attempt at every interval; without, one is lost.
+                let word = attempt.noted_at.max(attempt.sent_at);
+                let untold = silence > Micros(0) && now > word + silence;
+                if out && (unheard || untold || self.bad_plan(request, attempt, None)) {
                     lost.push((*id, AttemptNo(number as u32), unheard));
                 }
             }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -245,3 +245,20 @@
     assert_eq!(bench.wait(350), vec![], "seven times a fresh one");
     assert_eq!(bench.wait(100), vec![cancel]);
 }
+
+/// Without this an attempt that its engine lost, while it answers the others, was waited for till its deadline.
+#[test]
+fn an_attempt_of_which_a_well_engine_tells_nothing_is_lost() {
+    let mut bench = Bench::with_engines(settings(), 3);
+    let to = sent_to(&bench.request(1, HEAVY)).expect("an engine is ready");
+    let mut done = Vec::new();
+    for _ in 0..6 {
+        bench.on(Event::Probed(EngineId(to), Outcome::Ok, None));
+        done.extend(bench.wait(500));
+    }
+    let cancel = Action::Cancel {
+        request: RequestId(1),
+        attempt: AttemptNo(0),
+    };
+    assert_eq!(done, vec![cancel]);
+}
