End the session of a client that sends useless statements seven times in a row

Seen: with pauses alone, a client that sends hundreds at once or the same again as soon as it is turned away kept its place and a task for minutes (front/pg, Session::reject). Seven in a row now take 1.3 s in all and end the session, within the 3 s that such a client is owed a word; a statement that is answered begins the count anew. The scenario waits for ever without.

--- a/dispatcher/src/front/pg/mod.rs
+++ b/dispatcher/src/front/pg/mod.rs
@@ -21,8 +21,9 @@
 const HALF: Duration = Duration::from_secs(1);
 /// The pause before anything more is read of a client whose message was of no use, doubled with each in a
 /// row: one that sends the same again at once takes no time from the others.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-const PAUSE_DOUBLINGS: u32 = 5;
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+/// So many of them in a row end the session, all within the 3 s in which such a client is owed a word.
+const MOST_USELESS: u32 = 7;
 
 type Wire = Framed<TcpStream, Pg>;
 
@@ -148,8 +149,8 @@
         }
     }
 
-    /// Answers what is of no use, and reads on only after a pause.
-    async fn reject(&mut self, code: &'static str, message: String) -> io::Result<()> {
+    /// Answers what is of no use, and reads on only after a pause; false where that was once too often.
+    async fn reject(&mut self, code: &'static str, message: String) -> io::Result<bool> {
         let told = Error {
             code,
             message,
@@ -157,10 +158,12 @@
         };
         self.wire.feed(Say::Error(told)).await?;
         self.wire.send(Say::Ready).await?;
-        let pause = FIRST_PAUSE * (1 << self.useless.min(PAUSE_DOUBLINGS));
         self.useless += 1;
-        sleep(pause).await;
-        Ok(())
+        if self.useless >= MOST_USELESS {
+            return Ok(false);
+        }
+        sleep(FIRST_PAUSE * (1 << self.useless)).await;
+        Ok(true)
     }
 
     /// Answers a message of the extended protocol: one error, and nothing more up to its Sync.
@@ -183,7 +186,7 @@
         Ok(true)
     }
 
-    /// Answers a query; false when the client has gone meanwhile.
+    /// Answers a query; false when the client has gone meanwhile, or must go.
     async fn query(&mut self, text: Bytes) -> io::Result<bool> {
         let came = Instant::now();
         if is_empty(&text) {
@@ -205,8 +208,7 @@
                 }
             }
             Err(statement::Unusable(message)) => {
-                self.reject("42601", message).await?;
-                return Ok(true);
+                return self.reject("42601", message).await;
             }
         };
         match answer {
@@ -224,8 +226,7 @@
             Answer::Failed(failure @ (Failure::Duplicate | Failure::Tenant)) => {
                 self.place.stand(Standing::Stranger);
                 let told = failed(failure);
-                self.reject(told.code, told.message).await?;
-                return Ok(true);
+                return self.reject(told.code, told.message).await;
             }
             Answer::Failed(failure) => self.wire.feed(Say::Error(failed(failure))).await?,
         }
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -77,6 +77,23 @@
     stage.play("c0 expect closed");
 }
 
+#[test]
+fn a_client_that_sends_the_same_useless_statement_again_and_again_is_closed() {
+    let mut stage = Stage::new(&["e1"]);
+    let useless = "c1 send text SELECT 1\nc1 expect error 42601\n".repeat(6);
+    // A good one between begins the count anew.
+    stage.play(&useless);
+    stage.play(
+        "c1 send lookup 1
+         e1 expect fetch 1
+         e1 send 1 OK 1 a|b|c
+         c1 expect row
+         c1 expect complete",
+    );
+    stage.play(&useless);
+    stage.play("c1 send text SELECT 1\nc1 expect error 42601\nc1 expect closed");
+}
+
 #[test]
 fn a_cancel_request_on_its_own_connection_calls_the_query_off() {
     Stage::new(&["e1"]).play(
