Split the dispatcher into packages by concern, with arrows one way

Cause: several cores need a broker that can stand more than once, and nine files of the dispatcher named each other in a circle: the broker started engines, engines named the broker's mailbox, the configuration took its types from the roster. Change: port (messages, clock, no wire), broker, arrow, fronts, engines; dispatcher wires them up, and the broker starts engines through the trait Engines. No behaviour changes.

--- a/dispatcher/src/arrow.rs
+++ b/arrow/src/lib.rs
@@ -1,10 +1,10 @@
 //! Results as Arrow record batches, on both sides of the core.
 
-use crate::engine::Page;
 use arrow_array::cast::AsArray;
 use arrow_array::{ArrayRef, RecordBatch, StringArray};
 use arrow_schema::{DataType, Field, Schema, SchemaRef};
 use bytes::{BufMut, Bytes, BytesMut};
+use sedgebeam_port::Page;
 use std::sync::Arc;
 use tonic::Status;
 
--- a/dispatcher/src/broker/admin.rs
+++ b/broker/src/admin.rs
@@ -1,34 +1,11 @@
 //! What the administration asks of the broker, and what has been counted for it.
 
-use super::{Answer, Broker};
-use crate::roster::{Listing, Target};
+use super::Broker;
 use miniserde::{Serialize, json};
 use sedgebeam_core::{ClassId, Outcome, Tenant, TenantId};
+use sedgebeam_port::{Answer, Asked, Denied, Listing, Target};
 use std::collections::BTreeMap;
 
-/// What may be asked.
-#[derive(Debug)]
-pub enum Asked {
-    Health,
-    Counters,
-    Engines,
-    SetEngine(Target),
-    RemoveEngine(String),
-    /// Whether an engine is to be sent nothing new.
-    Drain(String, bool),
-    Tenants,
-    /// A tenant's share, and its requests a second.
-    SetTenant(String, f64, f64),
-}
-
-/// Why something is not done.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Denied {
-    Invalid(String),
-    Unknown(String),
-    Method,
-}
-
 /// How requests have ended; what is neither has its client gone or is still open.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Answers {
--- a/dispatcher/src/broker/mod.rs
+++ b/broker/src/lib.rs
@@ -4,78 +4,32 @@
 //! came, in batches no closer than a tick, one outcome for each send, and attempts numbered from 0.
 
 mod admin;
-mod answer;
 mod requests;
 #[cfg(test)]
 mod tests;
 
-pub use admin::{Asked, Denied};
-pub use answer::{Answer, Broken, Delivery, Failure, Pending};
-
-use crate::clock::{Clock, duration, span};
-use crate::config::Config;
-use crate::engine::{self, End, EngineBox, Probe, Report, ToEngine};
-use crate::roster::{Listing, Target};
 use admin::Counters;
-use bytes::Bytes;
 use requests::{Open, Out};
 use sedgebeam_core::{
-    Action, AttemptNo, CellId, ClassId, Ended, Engine, EngineId, EngineState, Event, Gateway,
-    GroupId, ListKind, Micros, Outcome, Query, RequestId, Settings, TimerId,
+    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, ListKind,
+    Micros, Outcome, Query, RequestId, Settings, TimerId,
+};
+use sedgebeam_port::clock::{Clock, duration, span};
+use sedgebeam_port::{
+    Answer, Attempt, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing, NewRequest,
+    Page, Probe, Report, Reports, SessionKey, Target, ToBroker, ToEngine,
 };
-use sedgebeam_settings::{Connections, Names, micros};
+use sedgebeam_settings::{Names, micros};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-pub type BrokerBox = mpsc::Sender<ToBroker>;
-
 /// Messages that may wait for the broker; their senders wait beyond it.
 const MAILBOX: usize = 4096;
 /// Messages taken before the gateway is asked again.
 const MOST_AT_ONCE: usize = 2048;
 
-/// A client's request, whatever its wire.
-#[derive(Clone, Debug)]
-pub struct NewRequest {
-    pub id: RequestId,
-    pub class: ClassId,
-    pub tenant: Option<String>,
-    /// When the client stops waiting.
-    pub deadline: Instant,
-    pub work: Micros,
-    pub memory_mb: f64,
-    pub group: GroupId,
-    pub statement: Bytes,
-    /// The session that a cancel names, where the wire has such.
-    pub session: Option<SessionKey>,
-}
-
-/// Names a session to those who may cancel what it asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct SessionKey(pub u64);
-
-#[derive(Debug)]
-pub enum ToBroker {
-    Submit(NewRequest, oneshot::Sender<Answer>),
-    ClientLeft(RequestId),
-    Cancel(SessionKey),
-    Engine(EngineId, Report),
-    EngineDied(EngineId),
-    List(Listing, Vec<Target>),
-    Admin(Asked, oneshot::Sender<Result<String, Denied>>),
-}
-
-/// Hands a request over; the answer is waited for on what this returns.
-pub async fn submit(broker: &BrokerBox, request: NewRequest) -> Pending {
-    let (reply, answer) = oneshot::channel();
-    let pending = Pending::new(request.id, answer, broker.clone());
-    // Where the broker is gone, the reply goes with the message and the answer says so.
-    let _ = broker.send(ToBroker::Submit(request, reply)).await;
-    pending
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Module(TimerId),
@@ -96,7 +50,9 @@
     settings: Settings,
     names: Names,
     class_names: Vec<Arc<str>>,
-    connections: Connections,
+    /// The requests that may be open at once.
+    most_open: usize,
+    world: Arc<dyn Engines>,
     clock: Clock,
     own: BrokerBox,
     open: HashMap<RequestId, Open>,
@@ -114,21 +70,35 @@
     last_batch: Option<Instant>,
 }
 
+/// What a broker needs to know at its start.
+#[derive(Clone)]
+pub struct Setup {
+    pub settings: Settings,
+    pub names: Names,
+    /// The requests that may be open at once.
+    pub most_open: usize,
+    pub seed: u64,
+    pub clock: Clock,
+    /// Starts the actors of engines.
+    pub world: Arc<dyn Engines>,
+}
+
 /// The broker and its mailbox.
-pub fn new(config: &Config, clock: Clock) -> (Broker, BrokerBox, mpsc::Receiver<ToBroker>) {
+pub fn new(setup: Setup) -> (Broker, BrokerBox, mpsc::Receiver<ToBroker>) {
     let (own, incoming) = mpsc::channel(MAILBOX);
     let broker = Broker {
-        gateway: Gateway::new(config.settings.clone(), config.seed),
-        settings: config.settings.clone(),
-        names: config.names.clone(),
-        class_names: config
+        gateway: Gateway::new(setup.settings.clone(), setup.seed),
+        class_names: setup
             .names
             .classes
             .iter()
             .map(|name| name.as_str().into())
             .collect(),
-        connections: config.connections,
-        clock,
+        settings: setup.settings,
+        names: setup.names,
+        most_open: setup.most_open,
+        world: setup.world,
+        clock: setup.clock,
         own: own.clone(),
         open: HashMap::new(),
         sessions: HashMap::new(),
@@ -295,7 +265,7 @@
             let _ = reply.send(Answer::Failed(Failure::Duplicate));
             return;
         }
-        if self.open.len() >= self.connections.max_open {
+        if self.open.len() >= self.most_open {
             let _ = reply.send(refused);
             return;
         }
@@ -410,7 +380,7 @@
             Micros(0) => left,
             timeout => duration(timeout).min(left),
         };
-        let attempt = engine::Attempt {
+        let attempt = Attempt {
             request: id,
             number,
             class: self.class_names[open.class.0].clone(),
@@ -503,7 +473,7 @@
         id: RequestId,
         number: AttemptNo,
         out: Out,
-        page: engine::Page,
+        page: Page,
         work: Option<Micros>,
         load: Option<sedgebeam_core::Load>,
     ) {
@@ -625,10 +595,10 @@
         if moved {
             self.forget(id);
         }
-        let (connections, own) = (self.connections, self.own.clone());
+        let (world, reports) = (&self.world, Reports::new(id, self.own.clone()));
         let known = self.engines.entry(id).or_insert_with(|| Known {
             target: target.clone(),
-            mailbox: engine::start(id, &target.uid, &target.endpoint, connections, own),
+            mailbox: world.start(target, reports),
             ready,
         });
         known.target = target.clone();
@@ -660,14 +630,8 @@
             }
         }
         if let Some(known) = self.engines.get_mut(&engine) {
-            let (connections, own) = (self.connections, self.own.clone());
-            known.mailbox = engine::start(
-                engine,
-                &known.target.uid,
-                &known.target.endpoint,
-                connections,
-                own,
-            );
+            let reports = Reports::new(engine, self.own.clone());
+            known.mailbox = self.world.start(&known.target, reports);
         }
     }
 }
--- a/dispatcher/src/broker/requests.rs
+++ b/broker/src/requests.rs
@@ -1,9 +1,8 @@
 //! Open requests and their attempts.
 
-use super::{Answer, NewRequest, SessionKey};
-use crate::engine::EngineBox;
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, ClassId, EngineId, TenantId};
+use sedgebeam_port::{Answer, EngineBox, NewRequest, SessionKey};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
--- a/dispatcher/src/broker/tests.rs
+++ b/broker/src/tests.rs
@@ -1,8 +1,8 @@
 //! The broker beside the simulator's adapter: for everything that can happen, the one event that follows.
 
 use super::*;
-use crate::config::Known as KnownList;
-use crate::engine::Page;
+use bytes::Bytes;
+use sedgebeam_core::{ClassId, GroupId};
 use std::time::Duration;
 
 const ID: RequestId = RequestId(7);
@@ -15,29 +15,32 @@
     answer: oneshot::Receiver<Answer>,
 }
 
-fn config() -> Config {
+/// No engine is started in these tests: the bench holds the mailbox of its only one.
+struct NoWorld;
+
+impl Engines for NoWorld {
+    fn start(&self, _: &Target, _: Reports) -> EngineBox {
+        mpsc::channel(1).0
+    }
+}
+
+fn setup() -> Setup {
     let facts = r#"{"balancers": 1, "tick": 5, "domain": {"tells_cost": true}, "tenants": [{"name": "acme"}],
         "limits": {"cancel": true, "max_attempts": 3}, "services": [{"name": "load", "give_up": 9000}]}"#;
     let facts: sedgebeam_settings::Facts = miniserde::json::from_str(facts).expect("settings");
-    Config {
-        name: String::new(),
-        listen: ([127, 0, 0, 1], 0).into(),
-        flight: None,
-        admin: None,
-        changelog: None,
-        known: KnownList::default(),
-        seed: 1,
-        sessions: 64,
-        message: 4096,
+    Setup {
         settings: facts.settings(),
         names: facts.names(),
-        connections: facts.connections(),
+        most_open: 100,
+        seed: 1,
+        clock: Clock::start(),
+        world: Arc::new(NoWorld),
     }
 }
 
 /// A broker that has taken one request and knows one engine.
 fn bench() -> Bench {
-    let (mut broker, _, _) = new(&config(), Clock::start());
+    let (mut broker, _, _) = new(setup());
     let (mailbox, sent) = mpsc::channel(16);
     let known = Known {
         target: <Target as Default>::default(),
--- a/dispatcher/src/admin.rs
+++ b/dispatcher/src/admin.rs
@@ -11,11 +11,10 @@
 //! | `GET /tenants` | the tenants and their shares |
 //! | `PUT /tenants/NAME` | sets its share, or adds it |
 
-use crate::broker::{Asked, BrokerBox, Denied, ToBroker};
-use crate::roster::Target;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use miniserde::{Deserialize, Serialize, json};
+use sedgebeam_port::{Asked, BrokerBox, Denied, Target, ToBroker, supervise};
 use std::io;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -183,7 +182,7 @@
                     }
                     drop(place);
                 };
-                crate::supervise::watch("an administration client".to_string(), task, || {});
+                supervise::watch("an administration client".to_string(), task, || {});
             }
             Err(error) => {
                 log::warn!("accepting administration clients: {error}");
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -1,9 +1,10 @@
 //! The one place where configuration is read, checked and given defaults.
 
-use crate::roster::{self, Change, Target};
+use crate::roster::{self, Change};
 use miniserde::json::Value;
 use miniserde::{Deserialize, json};
 use sedgebeam_core::{Micros, Settings};
+use sedgebeam_port::Target;
 use sedgebeam_settings::{Connections, Facts, Names};
 use std::net::SocketAddr;
 use std::path::Path;
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -1,8 +1,8 @@
 //! The change log's actor: follows the list of ledger engines and tells the broker.
 
-use crate::broker::{BrokerBox, ToBroker};
 use futures::StreamExt;
 use miniserde::{Deserialize, json};
+use sedgebeam_port::{BrokerBox, Listing, Target, ToBroker};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,26 +33,6 @@
     pub targets: Vec<Target>,
 }
 
-/// An engine as listed.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: String,
-    pub az: Option<String>,
-    pub model: Option<String>,
-    pub pod_group: Option<u64>,
-    pub state: String,
-    pub boot_ms: Option<f64>,
-}
-
-/// What a list stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listing {
-    Saved,
-    Complete,
-    Changes,
-}
-
 /// The longest line that the change log may write: a list of a few thousand engines.
 const MOST_LINE: usize = 1 << 20;
 /// A comment comes each second; after this long without a byte the connection is taken for dead.
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -1,14 +1,15 @@
 //! Starts the actors, accepts clients, and ends in order.
 
 use crate::admin;
-use crate::broker::{self, SessionKey, ToBroker};
-use crate::clock::Clock;
 use crate::config::Config;
-use crate::front::places::Places;
-use crate::front::{Shared, flight, incoming, pg};
 use crate::reload::{self, Source};
-use crate::roster::{self, Listing};
-use crate::supervise;
+use crate::roster;
+use sedgebeam_broker as broker;
+use sedgebeam_engines::Wires;
+use sedgebeam_fronts::places::Places;
+use sedgebeam_fronts::{Shared, flight, incoming, pg};
+use sedgebeam_port::clock::Clock;
+use sedgebeam_port::{Listing, SessionKey, ToBroker, supervise};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,13 +50,21 @@
 
 /// Serves until told to end, and until all that was taken is answered.
 pub async fn run(config: Config, source: Source, signals: Signals) -> io::Result<()> {
-    let clock = Clock::start();
     let Signals {
         hangup,
         mut terminate,
         mut interrupt,
     } = signals;
-    let (broker, mailbox, incoming) = broker::new(&config, clock);
+    let (broker, mailbox, incoming) = broker::new(broker::Setup {
+        settings: config.settings.clone(),
+        names: config.names.clone(),
+        most_open: config.connections.max_open,
+        seed: config.seed,
+        clock: Clock::start(),
+        world: Arc::new(Wires {
+            connections: config.connections,
+        }),
+    });
     supervise::vital("the broker", broker.run(incoming));
     let saved = ToBroker::List(Listing::Saved, roster::fold(config.known.changes.clone()));
     mailbox.send(saved).await.map_err(io::Error::other)?;
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -3,9 +3,11 @@
 use crate::engines;
 use crate::stage::{Peer, peer};
 use bytes::Bytes;
-use sedgebeam::broker::ToBroker;
-use sedgebeam::engine::{self, Attempt, End, EngineBox, Page, Probe, Report, ToEngine};
 use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
+use sedgebeam_engines::Wires;
+use sedgebeam_port::{
+    Attempt, End, EngineBox, Engines, Page, Probe, Report, Reports, Target, ToBroker, ToEngine,
+};
 use sedgebeam_settings::Connections;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -30,7 +32,12 @@
         max_open: 10,
     };
     let (broker, reports) = mpsc::channel(16);
-    let actor = engine::start(EngineId(1), "e1", &endpoint, connections, broker);
+    let target = Target {
+        uid: "e1".to_string(),
+        endpoint,
+        ..Target::default()
+    };
+    let actor = Wires { connections }.start(&target, Reports::new(EngineId(1), broker));
     Bench {
         engine,
         actor,
--- a/dispatcher/tests/scenarios/flight_engine.rs
+++ b/dispatcher/tests/scenarios/flight_engine.rs
@@ -14,9 +14,9 @@
 };
 use futures::stream::{self, BoxStream, StreamExt, TryStreamExt};
 use prost::Message;
-use sedgebeam::arrow;
-use sedgebeam::engine::Page;
-use sedgebeam::engine::flight::{ABORT, NOT_RUN};
+use sedgebeam_arrow as arrow;
+use sedgebeam_engines::flight::{ABORT, NOT_RUN};
+use sedgebeam_port::Page;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/dispatcher/src/engine/flight.rs
+++ b/engines/src/flight.rs
@@ -4,9 +4,6 @@
 //! where the engine does not poll, asked for with GetFlightInfo; then its ticket is redeemed with DoGet.
 //! That it never ran is believed only of an error that says so in [`NOT_RUN`].
 
-use super::{Attempt, End, More, Page, Probe, Report, Reports, ToEngine};
-use crate::arrow;
-use crate::clock::duration;
 use arrow_flight::decode::FlightRecordBatchStream;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
@@ -14,7 +11,10 @@
 use futures::future::{BoxFuture, Shared};
 use futures::{FutureExt, StreamExt, TryStreamExt};
 use prost::Message;
+use sedgebeam_arrow as arrow;
 use sedgebeam_core::{AttemptNo, Load, Micros, Note, RequestId};
+use sedgebeam_port::clock::duration;
+use sedgebeam_port::{Attempt, End, More, Page, Probe, Report, Reports, ToEngine, supervise};
 use sedgebeam_settings::Connections;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -241,7 +241,7 @@
             // An actor that is gone counts no more.
             let _ = over.send(word(broken)).await;
         };
-        crate::supervise::watch(format!("attempt at {}", self.endpoint), run, move || {
+        supervise::watch(format!("attempt at {}", self.endpoint), run, move || {
             tokio::spawn(async move {
                 reports.ended(id, number, End::Reset).await;
                 let _ = died.send(word(true)).await;
--- /dev/null
+++ b/engines/src/lib.rs
@@ -0,0 +1,39 @@
+//! Ledger engines: one actor each behind one message type, whatever its wire.
+
+pub mod flight;
+pub mod resp;
+
+use sedgebeam_port::{EngineBox, Engines, Reports, Target, supervise};
+use sedgebeam_settings::Connections;
+use tokio::sync::mpsc;
+
+/// Requests that may wait in an engine's mailbox: far more than it ever runs.
+const MAILBOX: usize = 4096;
+
+/// An endpoint with this ahead of it speaks Arrow Flight SQL; any other speaks RESP.
+pub const FLIGHT_SCHEME: &str = "grpc://";
+
+/// Engines over the network.
+#[derive(Clone, Copy, Debug)]
+pub struct Wires {
+    pub connections: Connections,
+}
+
+impl Engines for Wires {
+    fn start(&self, target: &Target, reports: Reports) -> EngineBox {
+        let (mailbox, incoming) = mpsc::channel(MAILBOX);
+        let (name, endpoint) = (format!("engine {}", target.uid), target.endpoint.clone());
+        let last = reports.clone();
+        let died = move || {
+            tokio::spawn(async move { last.died().await });
+        };
+        if endpoint.starts_with(FLIGHT_SCHEME) {
+            let actor = flight::run(endpoint, self.connections, incoming, reports);
+            supervise::watch(name, actor, died);
+        } else {
+            let actor = resp::run(endpoint, self.connections, incoming, reports);
+            supervise::watch(name, actor, died);
+        }
+        mailbox
+    }
+}
--- a/dispatcher/src/engine/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -1,8 +1,8 @@
 //! RESP arrays of bulk strings, and the commands and answers that they carry.
 
-use crate::engine::Attempt;
 use bytes::{BufMut, Bytes, BytesMut};
 use sedgebeam_core::{Load, Note, RequestId};
+use sedgebeam_port::Attempt;
 use std::io;
 use std::ops::RangeInclusive;
 use tokio_util::codec::{Decoder, Encoder};
--- a/dispatcher/src/engine/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -61,7 +61,7 @@
         let dead = came.clone();
         let name = format!("connection to {endpoint}");
         let task = run(number, endpoint, limit, commands, dropped, came);
-        crate::supervise::watch(name, task, move || {
+        sedgebeam_port::supervise::watch(name, task, move || {
             let unwritten = Vec::new();
             tokio::spawn(async move { dead.send((number, Came::Down { unwritten })).await });
         });
--- a/dispatcher/src/engine/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -4,12 +4,12 @@
 mod codec;
 mod connection;
 
-use super::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
-use crate::clock::duration;
 use bytes::{Bytes, BytesMut};
 use codec::{About, Command, Reply, Word};
 use connection::{Came, Connection, Number};
 use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
+use sedgebeam_port::clock::duration;
+use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
 use sedgebeam_settings::Connections;
 use std::cmp::Reverse;
 use std::collections::HashMap;
--- a/dispatcher/src/front/flight.rs
+++ b/fronts/src/flight.rs
@@ -4,8 +4,6 @@
 //! in a comment ahead of the statement, as on the other front, or else in the call's metadata.
 
 use super::{Shared, reason, statement};
-use crate::arrow;
-use crate::broker::{self, Answer, Broken, Delivery, Failure, NewRequest};
 use arrow_array::RecordBatch;
 use arrow_flight::encode::FlightDataEncoderBuilder;
 use arrow_flight::error::FlightError;
@@ -22,6 +20,8 @@
 use bytes::Bytes;
 use futures::stream::{self, Stream, TryStreamExt};
 use prost::Message;
+use sedgebeam_arrow as arrow;
+use sedgebeam_port::{Answer, Broken, Delivery, Failure, NewRequest, submit, supervise};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -215,7 +215,7 @@
         request: NewRequest,
         token: &CancellationToken,
     ) -> Result<Delivery, Status> {
-        let pending = broker::submit(&self.shared.broker, request).await;
+        let pending = submit(&self.shared.broker, request).await;
         let answer = tokio::select! {
             answer = pending => answer,
             () = token.cancelled() => return Err(failed(Failure::Cancelled)),
@@ -260,7 +260,7 @@
 fn pass(delivery: Delivery, running: Running) -> impl Stream<Item = Batch> {
     let (pages, taken) = mpsc::channel(1);
     let task = read_pages(delivery, running, pages);
-    crate::supervise::watch("a Flight SQL result".to_string(), task, || {});
+    supervise::watch("a Flight SQL result".to_string(), task, || {});
     stream::unfold(Some(taken), |taken| async {
         let mut taken = taken?;
         match taken.recv().await {
--- a/dispatcher/src/front/mod.rs
+++ b/fronts/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod places;
 pub mod statement;
 
-use crate::broker::{BrokerBox, Failure};
+use sedgebeam_port::{BrokerBox, Failure};
 use sedgebeam_settings::Names;
 use std::sync::Arc;
 
--- a/dispatcher/src/front/pg/codec.rs
+++ b/fronts/src/pg/codec.rs
@@ -1,7 +1,7 @@
 //! The PostgreSQL protocol 3.0, as far as clients of a dispatcher speak it.
 
-use crate::engine::Page;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use sedgebeam_port::Page;
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
 
--- a/dispatcher/src/front/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -4,10 +4,10 @@
 
 use super::places::{Place, Standing};
 use super::{Shared, reason, statement};
-use crate::broker::{self, Answer, Delivery, Failure, SessionKey, ToBroker};
 use bytes::{Bytes, BytesMut};
 use codec::{Error, Pg, Said, Say};
 use futures::{SinkExt, StreamExt};
+use sedgebeam_port::{Answer, Broken, Delivery, Failure, Pending, SessionKey, ToBroker, submit};
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -201,7 +201,7 @@
                 if !self.place.stand(Standing::Busy) {
                     return Ok(false);
                 }
-                let pending = broker::submit(&self.shared.broker, request).await;
+                let pending = submit(&self.shared.broker, request).await;
                 match self.wait(pending).await? {
                     Some(answer) => answer,
                     None => return Ok(false),
@@ -236,7 +236,7 @@
     }
 
     /// Waits for the answer and watches the client meanwhile; `None` when it has gone.
-    async fn wait(&mut self, mut pending: broker::Pending) -> io::Result<Option<Answer>> {
+    async fn wait(&mut self, mut pending: Pending) -> io::Result<Option<Answer>> {
         loop {
             tokio::select! {
                 biased;
@@ -264,7 +264,7 @@
                     taken.map_err(io::Error::other)??;
                 }
                 Ok(None) => return self.wire.feed(Say::Complete(rows)).await,
-                Err(broker::Broken) => {
+                Err(Broken) => {
                     let message = "the rest of the result was lost with its engine".to_string();
                     let told = Error {
                         code: "58030",
--- a/dispatcher/src/front/statement.rs
+++ b/fronts/src/statement.rs
@@ -1,9 +1,9 @@
 //! A statement with its fields in a comment ahead of it: what both fronts read alike.
 
-use crate::broker::{NewRequest, SessionKey};
-use crate::clock::duration;
 use bytes::Bytes;
 use sedgebeam_core::{GroupId, RequestId};
+use sedgebeam_port::clock::duration;
+use sedgebeam_port::{NewRequest, SessionKey};
 use sedgebeam_settings::{Names, micros, millis};
 use tokio::time::Instant;
 
--- a/dispatcher/src/broker/answer.rs
+++ b/port/src/answer.rs
@@ -1,7 +1,6 @@
 //! The final answer to a request, and how a front waits for it.
 
-use super::{BrokerBox, ToBroker};
-use crate::engine::{EngineBox, More, Page, ToEngine};
+use crate::{BrokerBox, EngineBox, More, Page, ToBroker, ToEngine};
 use sedgebeam_core::{AttemptNo, RequestId};
 use std::future::Future;
 use std::pin::Pin;
--- a/dispatcher/src/engine/mod.rs
+++ b/port/src/engine.rs
@@ -1,13 +1,8 @@
 //! Ledger engines: one actor each behind one message type, whatever its wire.
 
-pub mod flight;
-pub mod resp;
-
-use crate::broker::{BrokerBox, ToBroker};
-use crate::supervise;
+use crate::{BrokerBox, Target, ToBroker};
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, EngineId, Load, Micros, Note, RequestId};
-use sedgebeam_settings::Connections;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -92,38 +87,10 @@
 
 pub type EngineBox = mpsc::Sender<ToEngine>;
 
-/// Requests that may wait in an engine's mailbox: far more than it ever runs.
-const MAILBOX: usize = 4096;
-
-/// An endpoint with this ahead of it speaks Arrow Flight SQL; any other speaks RESP.
-pub const FLIGHT_SCHEME: &str = "grpc://";
-
-/// Starts the actor of an engine.
-pub fn start(
-    id: EngineId,
-    uid: &str,
-    endpoint: &str,
-    connections: Connections,
-    broker: BrokerBox,
-) -> EngineBox {
-    let (mailbox, incoming) = mpsc::channel(MAILBOX);
-    let reports = Reports {
-        engine: id,
-        broker: broker.clone(),
-    };
-    let (name, endpoint) = (format!("engine {uid}"), endpoint.to_string());
-    let died = move || {
-        // What was out there may have run.
-        tokio::spawn(async move { broker.send(ToBroker::EngineDied(id)).await });
-    };
-    if endpoint.starts_with(FLIGHT_SCHEME) {
-        let actor = flight::run(endpoint, connections, incoming, reports);
-        supervise::watch(name, actor, died);
-    } else {
-        let actor = resp::run(endpoint, connections, incoming, reports);
-        supervise::watch(name, actor, died);
-    }
-    mailbox
+/// Starts the actors of engines: the one thing that the broker needs of the world.
+pub trait Engines: Send + Sync {
+    /// Starts the actor of an engine; it ends by itself once every sender of its mailbox is gone.
+    fn start(&self, target: &Target, reports: Reports) -> EngineBox;
 }
 
 /// Where an engine's actor reports to.
@@ -134,6 +101,10 @@
 }
 
 impl Reports {
+    pub fn new(engine: EngineId, broker: BrokerBox) -> Reports {
+        Reports { engine, broker }
+    }
+
     pub async fn tell(&self, report: Report) {
         // A broker that is gone has ended the process.
         let _ = self
@@ -145,4 +116,10 @@
     pub async fn ended(&self, request: RequestId, number: AttemptNo, end: End) {
         self.tell(Report::Ended(request, number, end)).await;
     }
+
+    /// The engine's actor has died; what was out there may have run.
+    pub async fn died(&self) {
+        // As above.
+        let _ = self.broker.send(ToBroker::EngineDied(self.engine)).await;
+    }
 }
--- /dev/null
+++ b/port/src/request.rs
@@ -0,0 +1,49 @@
+//! Requests on their way to the broker, and all else that it is told.
+
+use crate::{Answer, Asked, Denied, Listing, Pending, Report, Target};
+use bytes::Bytes;
+use sedgebeam_core::{ClassId, EngineId, GroupId, Micros, RequestId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+pub type BrokerBox = mpsc::Sender<ToBroker>;
+
+/// A client's request, whatever its wire.
+#[derive(Clone, Debug)]
+pub struct NewRequest {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<String>,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    pub work: Micros,
+    pub memory_mb: f64,
+    pub group: GroupId,
+    pub statement: Bytes,
+    /// The session that a cancel names, where the wire has such.
+    pub session: Option<SessionKey>,
+}
+
+/// Names a session to those who may cancel what it asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SessionKey(pub u64);
+
+#[derive(Debug)]
+pub enum ToBroker {
+    Submit(NewRequest, oneshot::Sender<Answer>),
+    ClientLeft(RequestId),
+    Cancel(SessionKey),
+    Engine(EngineId, Report),
+    EngineDied(EngineId),
+    List(Listing, Vec<Target>),
+    Admin(Asked, oneshot::Sender<Result<String, Denied>>),
+}
+
+/// Hands a request over; the answer is waited for on what this returns.
+pub async fn submit(broker: &BrokerBox, request: NewRequest) -> Pending {
+    let (reply, answer) = oneshot::channel();
+    let pending = Pending::new(request.id, answer, broker.clone());
+    // Where the broker is gone, the reply goes with the message and the answer says so.
+    let _ = broker.send(ToBroker::Submit(request, reply)).await;
+    pending
+}
