Let gateways act as parts of one: a ledger of leases between shards, free of I/O and clock

Cause: several cores need several gateways, and their sum must not exceed what one may do. Change: package leases: a shard borrows room, decides, settles; threads, memory and loads per engine, cold budgets, credits and open requests are divided there. Not used by the dispatcher yet.

--- /dev/null
+++ b/leases/src/engines.rs
@@ -0,0 +1,135 @@
+//! What all shards hold on one engine.
+
+use sedgebeam_core::{Micros, Out};
+use std::collections::VecDeque;
+
+/// What one shard holds there.
+#[derive(Clone, Debug, Default)]
+struct Holding {
+    out: Out,
+    /// Threads that it has borrowed and not settled.
+    lent: f64,
+}
+
+/// An engine's page of the ledger.
+#[derive(Debug, Default)]
+pub(crate) struct EngineBook {
+    holdings: Vec<Holding>,
+    /// Work sent lately: when, by whom, and how much in core seconds. It outlives the shard that sent it.
+    sends: VecDeque<(Micros, usize, f64)>,
+}
+
+impl EngineBook {
+    fn holding(&mut self, shard: usize) -> &mut Holding {
+        if self.holdings.len() <= shard {
+            self.holdings.resize(shard + 1, Holding::default());
+        }
+        &mut self.holdings[shard]
+    }
+
+    fn others(&self, shard: usize) -> impl Iterator<Item = &Holding> {
+        let holdings = self.holdings.iter().enumerate();
+        holdings.filter_map(move |(place, holding)| (place != shard).then_some(holding))
+    }
+
+    pub fn threads(&self) -> f64 {
+        self.holdings
+            .iter()
+            .map(|holding| holding.out.threads)
+            .sum()
+    }
+
+    pub fn lent(&self) -> f64 {
+        self.holdings.iter().map(|holding| holding.lent).sum()
+    }
+
+    /// Lends a part of the threads that are free below the limit. One query always has room on an engine
+    /// on which there is nothing, whatever the limit; on a cold one, only one shard borrows at a time, since
+    /// what it will send is known only afterwards.
+    pub fn lend(
+        &mut self,
+        shard: usize,
+        limit: f64,
+        cold: bool,
+        part: f64,
+        most: f64,
+        heaviest: f64,
+    ) -> f64 {
+        let held = self.threads() + self.lent();
+        let busy = self.others(shard).any(|holding| holding.lent > 0.0);
+        let free = if held == 0.0 {
+            limit.max(heaviest)
+        } else {
+            limit - held
+        };
+        let room = if free <= 0.0 || (cold && busy) {
+            0.0
+        } else {
+            // Less than the heaviest query would keep it out for good where many share.
+            (free * part).max(heaviest).min(free).min(most)
+        };
+        self.holding(shard).lent = room;
+        room
+    }
+
+    /// What the others have out there, and what they may be sending.
+    pub fn elsewhere(&self, shard: usize) -> Out {
+        let mut sum = Out::default();
+        for holding in self.others(shard) {
+            sum.threads += holding.out.threads + holding.lent;
+            sum.memory_mb += holding.out.memory_mb;
+            sum.groups.extend_from_slice(&holding.out.groups);
+        }
+        sum
+    }
+
+    pub fn work(&self, now: Micros, window: Micros) -> f64 {
+        let recent = self.sends.iter().filter(|(at, _, _)| *at + window > now);
+        recent.map(|(_, _, work)| work).sum()
+    }
+
+    pub fn work_of_others(&self, shard: usize, now: Micros, window: Micros) -> f64 {
+        let recent = self.sends.iter().filter(|(at, _, _)| *at + window > now);
+        let others = recent.filter(|(_, by, _)| *by != shard);
+        others.map(|(_, _, work)| work).sum()
+    }
+
+    pub fn publish(&mut self, shard: usize, out: Out) {
+        self.holding(shard).out = out;
+    }
+
+    pub fn sent(&mut self, shard: usize, now: Micros, window: Micros, work: f64) {
+        while self
+            .sends
+            .front()
+            .is_some_and(|(at, _, _)| *at + window <= now)
+        {
+            self.sends.pop_front();
+        }
+        self.sends.push_back((now, shard, work));
+    }
+
+    pub fn take_back(&mut self, shard: usize) {
+        if let Some(holding) = self.holdings.get_mut(shard) {
+            holding.lent = 0.0;
+        }
+    }
+
+    /// Nothing of the shard is out there; what it sent counts on, under a name that no living shard has: one
+    /// that is started anew remembers nothing of it.
+    pub fn forget(&mut self, shard: usize) {
+        if let Some(holding) = self.holdings.get_mut(shard) {
+            *holding = Holding::default();
+        }
+        for (_, by, _) in &mut self.sends {
+            if *by == shard {
+                *by = usize::MAX;
+            }
+        }
+    }
+
+    pub fn is_empty(&self, now: Micros, window: Micros) -> bool {
+        let held = |holding: &Holding| holding.out.threads > 0.0 || holding.lent > 0.0;
+        !self.holdings.iter().any(held) && self.sends.iter().all(|(at, _, _)| *at + window <= now)
+    }
+}
--- /dev/null
+++ b/leases/src/lib.rs
@@ -0,0 +1,348 @@
+//! Leases of what is divided among the shards of one dispatcher.
+//!
+//! A shard is a gateway of its own with a part of the requests. Before each decision it borrows room at
+//! the [`Ledger`], decides, and settles: it tells what it holds now and gives back the rest. What is
+//! borrowed counts to all others as if it were out, so whatever shards decide at the same moment, the sum
+//! is never more than one gateway would have sent. There is no clock and no I/O here; the caller tells the
+//! time in microseconds of one clock for all shards.
+//!
+//! | divided | how |
+//! | --- | --- |
+//! | threads of an engine, of the fleet | borrowed for one decision, and counted while they are out |
+//! | memory of an engine, its loads' groups | counted while they are out |
+//! | what a cold engine may be sent | only one shard at a time may borrow there; what was sent counts for a window |
+//! | credit of classes and tenants | one credit for all, to which each adds its changes |
+//! | open requests | a lease of a number, renewed at each decision ([`counts`]) |
+//!
+//! A lease that is not settled in time is void: its room goes to others, and the caller must not send what
+//! it decided. What was out of a shard that is silent counts until the last of it must have ended; of a
+//! shard that died, whose connections are closed, it counts no more. What was sent to a cold engine counts
+//! on in both cases.
+
+pub mod counts;
+mod engines;
+
+use counts::Counts;
+use engines::EngineBook;
+use sedgebeam_core::{
+    ClassOut, EngineId, EngineShare, Micros, Out, Published, Room, Siblings, Wish,
+};
+use std::collections::BTreeMap;
+
+/// Names a shard, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShardId(pub usize);
+
+/// Names one borrowing; one that has been settled, voided or crashed is of no further use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket(u64);
+
+/// The figures of a ledger.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub shards: usize,
+    /// A borrowing that is not settled within this time is void.
+    pub lease: Micros,
+    /// How long what was sent to an engine counts against what a cold one can bear.
+    pub cold_window: Micros,
+    /// The most credit or debt of a class or tenant.
+    pub credit_cap: f64,
+    /// Requests that may be open at once, over all shards.
+    pub open: usize,
+}
+
+/// What a shard has borrowed.
+#[derive(Debug)]
+pub struct Loan {
+    pub ticket: Ticket,
+    pub siblings: Siblings,
+    /// Requests that the shard may have open until it borrows again.
+    pub open: usize,
+}
+
+/// What a settlement came to.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Settled {
+    /// Whether the lease was good to the end; else nothing that was decided on it may be sent.
+    pub stands: bool,
+    /// Shards that wait for what has become free.
+    pub wake: Vec<ShardId>,
+}
+
+/// A shard as the ledger knows it.
+#[derive(Clone, Debug, Default)]
+struct Shard {
+    /// The borrowing that is not settled yet, and when it was made.
+    loan: Option<(u64, Micros)>,
+    /// Threads that it may send to the fleet on it.
+    reserved: f64,
+    wants: f64,
+    classes: Vec<ClassOut>,
+    waiting: Vec<Vec<usize>>,
+    /// By when all that it has out has ended.
+    until: Micros,
+    threads: f64,
+}
+
+impl Shard {
+    fn waits(&self) -> bool {
+        self.waiting.iter().flatten().any(|count| *count > 0)
+    }
+}
+
+/// What all shards hold.
+#[derive(Debug)]
+pub struct Ledger {
+    terms: Terms,
+    shards: Vec<Shard>,
+    engines: BTreeMap<EngineId, EngineBook>,
+    class_credit: Vec<f64>,
+    tenant_credit: Vec<Vec<f64>>,
+    open: Counts,
+    tickets: u64,
+    /// Leases that were voided because they were not settled in time.
+    voided: u64,
+}
+
+impl Ledger {
+    pub fn new(terms: Terms) -> Ledger {
+        Ledger {
+            terms,
+            shards: vec![Shard::default(); terms.shards],
+            engines: BTreeMap::new(),
+            class_credit: Vec::new(),
+            tenant_credit: Vec::new(),
+            open: Counts::new(terms.shards, terms.open),
+            tickets: 0,
+            voided: 0,
+        }
+    }
+
+    /// How many leases were void before they were settled.
+    pub fn voided(&self) -> u64 {
+        self.voided
+    }
+
+    /// Lends room for one decision. `open` tells how many requests the shard has open.
+    pub fn borrow(&mut self, shard: ShardId, now: Micros, wish: &Wish, open: usize) -> Loan {
+        self.expire(now);
+        self.take_back(shard);
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let own = shard.0;
+        let wants = wish.threads.max(0.0);
+        self.shards[own].wants = wants;
+        let others: f64 = self.others(shard).map(|other| other.wants).sum();
+        // Its part of what is free, by what it waits for against what all wait for.
+        let part = if wants > 0.0 {
+            wants / (wants + others)
+        } else {
+            0.0
+        };
+        let most = wants.max(wish.heaviest);
+        let engines = wish.engines.iter().map(|(id, limit, cold)| {
+            let book = self.engines.entry(*id).or_default();
+            let room = book.lend(own, *limit, *cold, part, most, wish.heaviest);
+            EngineShare {
+                engine: *id,
+                out: book.elsewhere(own),
+                cold_work: book.work_of_others(own, now, self.terms.cold_window),
+                room: Room(room),
+            }
+        });
+        let engines: Vec<EngineShare> = engines.collect();
+        let (classes, waiting) = (self.classes(shard), self.waiting(shard));
+        let borrower = &mut self.shards[own];
+        borrower.loan = Some((ticket, now));
+        borrower.reserved = most;
+        Loan {
+            ticket: Ticket(ticket),
+            siblings: Siblings {
+                engines,
+                classes,
+                waiting,
+                room: Room(most),
+                class_credit: self.class_credit.clone(),
+                tenant_credit: self.tenant_credit.clone(),
+            },
+            open: self.open.renew(own, open),
+        }
+    }
+
+    /// Takes what the shard holds now, and back what it has borrowed. Where the lease was void, what it
+    /// tells is of no use either: it speaks of sends that must not be made.
+    pub fn settle(
+        &mut self,
+        shard: ShardId,
+        ticket: Ticket,
+        now: Micros,
+        told: Published,
+    ) -> Settled {
+        self.expire(now);
+        let own = shard.0;
+        if self.shards[own]
+            .loan
+            .is_none_or(|(loan, _)| loan != ticket.0)
+        {
+            return Settled::default();
+        }
+        self.take_back(shard);
+        let before = self.shards[own].threads;
+        self.publish(own, now, told);
+        let freed = self.shards[own].threads < before;
+        let wake = if freed {
+            self.waiters(shard)
+        } else {
+            Vec::new()
+        };
+        Settled { stands: true, wake }
+    }
+
+    /// A shard has died and its connections to engines are closed: nothing of it is out any more. Gives
+    /// the shards that may be waiting for that.
+    pub fn crash(&mut self, shard: ShardId) -> Vec<ShardId> {
+        self.forget(shard);
+        self.open.leave(shard.0);
+        self.waiters(shard)
+    }
+
+    /// Leases that ran out become void; what was out of a silent shard counts until it must have ended.
+    pub fn expire(&mut self, now: Micros) {
+        for place in 0..self.shards.len() {
+            let shard = &self.shards[place];
+            let late = |(_, at): (u64, Micros)| now > at + self.terms.lease;
+            if shard.loan.is_some_and(late) {
+                self.voided += 1;
+                self.take_back(ShardId(place));
+                self.shards[place].wants = 0.0;
+            }
+            // A shard that lives publishes again long before.
+            let shard = &self.shards[place];
+            if shard.threads > 0.0 && now > shard.until + self.terms.lease {
+                self.forget(ShardId(place));
+            }
+        }
+    }
+
+    /// Threads out on an engine, and threads lent there, over all shards.
+    pub fn held(&self, engine: EngineId) -> (f64, f64) {
+        let book = self.engines.get(&engine);
+        book.map_or((0.0, 0.0), |book| (book.threads(), book.lent()))
+    }
+
+    /// Work sent to an engine by all shards within the cold window, in core seconds.
+    pub fn work_sent(&self, engine: EngineId, now: Micros) -> f64 {
+        let book = self.engines.get(&engine);
+        book.map_or(0.0, |book| book.work(now, self.terms.cold_window))
+    }
+
+    fn others(&self, shard: ShardId) -> impl Iterator<Item = &Shard> {
+        let shards = self.shards.iter().enumerate();
+        shards.filter_map(move |(place, other)| (place != shard.0).then_some(other))
+    }
+
+    fn waiters(&self, shard: ShardId) -> Vec<ShardId> {
+        let shards = self.shards.iter().enumerate();
+        let waits = shards.filter(|(place, other)| *place != shard.0 && other.waits());
+        waits.map(|(place, _)| ShardId(place)).collect()
+    }
+
+    /// Ends what the shard has borrowed.
+    fn take_back(&mut self, shard: ShardId) {
+        let own = &mut self.shards[shard.0];
+        if own.loan.take().is_some() {
+            own.reserved = 0.0;
+            self.engines
+                .values_mut()
+                .for_each(|book| book.take_back(shard.0));
+        }
+    }
+
+    fn forget(&mut self, shard: ShardId) {
+        self.take_back(shard);
+        self.engines
+            .values_mut()
+            .for_each(|book| book.forget(shard.0));
+        self.shards[shard.0] = Shard::default();
+    }
+
+    fn publish(&mut self, own: usize, now: Micros, mut told: Published) {
+        told.engines.sort_by_key(|(id, _)| *id);
+        let threads: f64 = told.engines.iter().map(|(_, out)| out.threads).sum();
+        let window = self.terms.cold_window;
+        let engines = &told.engines;
+        self.engines.retain(|id, book| {
+            let known = engines
+                .binary_search_by_key(id, |(engine, _)| *engine)
+                .is_ok();
+            if !known {
+                // An engine that the shard no longer knows has nothing of it out.
+                book.publish(own, Out::default());
+            }
+            known || !book.is_empty(now, window)
+        });
+        for (id, out) in told.engines {
+            self.engines.entry(id).or_default().publish(own, out);
+        }
+        for (id, work) in told.sent {
+            let book = self.engines.entry(id).or_default();
+            book.sent(own, now, window, work);
+        }
+        let shard = &mut self.shards[own];
+        (shard.classes, shard.waiting) = (told.classes, told.waiting);
+        shard.until = told.until;
+        // What it could not send it still waits for.
+        let sent = (threads - shard.threads).max(0.0);
+        shard.wants = if shard.waits() {
+            (shard.wants - sent).max(0.0)
+        } else {
+            0.0
+        };
+        shard.threads = threads;
+        let cap = self.terms.credit_cap;
+        add(&mut self.class_credit, &told.class_credit, cap);
+        let classes = told.tenant_credit.len().max(self.tenant_credit.len());
+        self.tenant_credit.resize(classes, Vec::new());
+        for (credit, change) in self.tenant_credit.iter_mut().zip(&told.tenant_credit) {
+            add(credit, change, cap);
+        }
+    }
+
+    /// By class, what the others have out, and might be sending.
+    fn classes(&self, shard: ShardId) -> Vec<ClassOut> {
+        let mut sum: Vec<ClassOut> = Vec::new();
+        for other in self.others(shard) {
+            sum.resize(sum.len().max(other.classes.len()), ClassOut::default());
+            for (sum, out) in sum.iter_mut().zip(&other.classes) {
+                sum.threads += out.threads;
+                sum.memory_mb += out.memory_mb;
+            }
+        }
+        // What others may be sending at this moment may be of any class.
+        let reserved: f64 = self.others(shard).map(|other| other.reserved).sum();
+        sum.iter_mut().for_each(|class| class.threads += reserved);
+        sum
+    }
+
+    fn waiting(&self, shard: ShardId) -> Vec<Vec<usize>> {
+        let mut sum: Vec<Vec<usize>> = Vec::new();
+        for other in self.others(shard) {
+            sum.resize(sum.len().max(other.waiting.len()), Vec::new());
+            for (sum, class) in sum.iter_mut().zip(&other.waiting) {
+                sum.resize(sum.len().max(class.len()), 0);
+                sum.iter_mut()
+                    .zip(class)
+                    .for_each(|(sum, count)| *sum += count);
+            }
+        }
+        sum
+    }
+}
+
+/// Adds changes to credits, within the cap.
+fn add(credit: &mut Vec<f64>, change: &[f64], cap: f64) {
+    credit.resize(credit.len().max(change.len()), 0.0);
+    for (credit, change) in credit.iter_mut().zip(change) {
+        *credit = (*credit + change).clamp(-cap, cap);
+    }
+}
--- /dev/null
+++ b/leases/tests/interleavings.rs
@@ -0,0 +1,415 @@
+//! Random interleavings of shards that borrow, settle, stall and die, beside a model of what is really out.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use sedgebeam_core::{ClassOut, EngineId, GroupId, Micros, Out, Published, Wish};
+use sedgebeam_leases::{Ledger, Loan, ShardId, Terms};
+use std::collections::BTreeMap;
+
+const SHARDS: usize = 4;
+const ENGINES: u64 = 3;
+const LIMIT: f64 = 10.0;
+const HEAVIEST: f64 = 4.0;
+/// What all may send to the cold engine within a window, in core seconds.
+const COLD_PART: f64 = 3.0;
+const COLD: EngineId = EngineId(0);
+const LEASE: Micros = Micros(50);
+const WINDOW: Micros = Micros(400);
+const OPEN: usize = 40;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Borrow {
+        shard: usize,
+        wants: u8,
+    },
+    /// Sends up to so many queries of so many threads to each engine that has room, ends as many, settles.
+    Settle {
+        shard: usize,
+        queries: u8,
+        threads: u8,
+        ends: u8,
+    },
+    Wait(u8),
+    Crash(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let shard = 0..SHARDS;
+    prop_oneof![
+        4 => (shard.clone(), 0..30u8).prop_map(|(shard, wants)| Step::Borrow { shard, wants }),
+        5 => (shard.clone(), 0..6u8, 1..=4u8, 0..3u8).prop_map(|(shard, queries, threads, ends)| {
+            Step::Settle { shard, queries, threads, ends }
+        }),
+        2 => (1..60u8).prop_map(Step::Wait),
+        1 => shard.prop_map(Step::Crash),
+    ]
+}
+
+/// A shard as it really is: its queries out, by engine.
+#[derive(Default)]
+struct Shard {
+    out: BTreeMap<EngineId, Vec<f64>>,
+    loan: Option<(Loan, Micros)>,
+    open: usize,
+    lease: usize,
+    sent: Vec<(Micros, f64)>,
+}
+
+impl Shard {
+    fn threads(&self, engine: EngineId) -> f64 {
+        self.out.get(&engine).map_or(0.0, |out| out.iter().sum())
+    }
+
+    fn publish(&self, sent: f64) -> Published {
+        let out = |engine| Out {
+            threads: self.threads(engine),
+            ..Out::default()
+        };
+        let engines: Vec<_> = (0..ENGINES).map(EngineId).map(|id| (id, out(id))).collect();
+        let threads = engines.iter().map(|(_, out)| out.threads).sum();
+        Published {
+            engines,
+            classes: vec![ClassOut {
+                threads,
+                memory_mb: 0.0,
+            }],
+            waiting: vec![vec![1]],
+            sent: vec![(COLD, sent)],
+            until: Micros::MAX,
+            ..Published::default()
+        }
+    }
+}
+
+struct World {
+    ledger: Ledger,
+    shards: Vec<Shard>,
+    now: Micros,
+    /// All that was ever sent to the cold engine, whoever sent it.
+    cold: Vec<(Micros, f64)>,
+}
+
+fn recent(sent: &[(Micros, f64)], now: Micros) -> f64 {
+    let recent = sent.iter().filter(|(at, _)| *at + WINDOW > now);
+    recent.map(|(_, work)| work).sum()
+}
+
+impl World {
+    fn new() -> World {
+        let terms = Terms {
+            shards: SHARDS,
+            lease: LEASE,
+            cold_window: WINDOW,
+            credit_cap: 4.0,
+            open: OPEN,
+        };
+        World {
+            ledger: Ledger::new(terms),
+            shards: (0..SHARDS).map(|_| Shard::default()).collect(),
+            now: Micros(1000),
+            cold: Vec::new(),
+        }
+    }
+
+    fn borrow(&mut self, place: usize, wants: u8) {
+        let wish = Wish {
+            threads: f64::from(wants),
+            heaviest: HEAVIEST,
+            engines: (0..ENGINES)
+                .map(|id| (EngineId(id), LIMIT, id == COLD.0))
+                .collect(),
+        };
+        let shard = &mut self.shards[place];
+        let loan = self
+            .ledger
+            .borrow(ShardId(place), self.now, &wish, shard.open);
+        // It opens as many requests as it may.
+        shard.lease = loan.open;
+        shard.open = (shard.open + usize::from(wants)).min(loan.open);
+        shard.loan = Some((loan, self.now));
+    }
+
+    /// Decides as a gateway does: within its room and the limit, by what it was told of the others.
+    fn settle(&mut self, place: usize, queries: u8, threads: u8, ends: u8) {
+        let shard = &mut self.shards[place];
+        let Some((loan, _)) = shard.loan.take() else {
+            return;
+        };
+        let threads = f64::from(threads);
+        let (mut sends, mut work, mut fleet) = (Vec::new(), 0.0, loan.siblings.room.0);
+        for share in &loan.siblings.engines {
+            let (mut room, mut own) = (share.room.0, shard.threads(share.engine));
+            for _ in 0..queries {
+                let all = own + share.out.threads;
+                let fits = all == 0.0 || all + threads <= LIMIT;
+                let cold = recent(&shard.sent, self.now) + share.cold_work + work + 0.5;
+                let bears = share.engine != COLD || cold <= COLD_PART;
+                if threads <= room && threads <= fleet && fits && bears {
+                    sends.push(share.engine);
+                    (room, fleet, own) = (room - threads, fleet - threads, own + threads);
+                    work += if share.engine == COLD { 0.5 } else { 0.0 };
+                }
+            }
+        }
+        // What has ended and what would be out if the sends were made.
+        for out in shard.out.values_mut() {
+            out.truncate(out.len().saturating_sub(usize::from(ends)));
+        }
+        shard.open = shard.open.saturating_sub(usize::from(ends));
+        let before = shard.out.clone();
+        sends
+            .iter()
+            .for_each(|to| shard.out.entry(*to).or_default().push(threads));
+        let told = shard.publish(work);
+        if self
+            .ledger
+            .settle(ShardId(place), loan.ticket, self.now, told)
+            .stands
+        {
+            shard.sent.push((self.now, work));
+            self.cold.push((self.now, work));
+        } else {
+            self.shards[place].out = before;
+        }
+    }
+
+    fn crash(&mut self, place: usize) {
+        self.shards[place] = Shard::default();
+        self.ledger.crash(ShardId(place));
+    }
+
+    /// Nothing is handed out twice, whatever has happened.
+    fn check(&self) -> Result<(), TestCaseError> {
+        for engine in (0..ENGINES).map(EngineId) {
+            let out: f64 = self.shards.iter().map(|shard| shard.threads(engine)).sum();
+            let (_, lent) = self.ledger.held(engine);
+            prop_assert!(out <= LIMIT, "{out} threads are out on {engine:?}");
+            prop_assert!(
+                out + lent <= LIMIT,
+                "{out} out and {lent} lent on {engine:?}"
+            );
+        }
+        let cold = recent(&self.cold, self.now);
+        prop_assert!(
+            cold <= COLD_PART,
+            "{cold} core seconds sent to a cold engine"
+        );
+        let open: usize = self.shards.iter().map(|shard| shard.open).sum();
+        prop_assert!(open <= OPEN, "{open} requests are open");
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn shards_together_never_hold_more_than_one_gateway_may(steps in vec(step(), 1..120)) {
+        let mut world = World::new();
+        for step in steps {
+            match step {
+                Step::Borrow { shard, wants } => world.borrow(shard, wants),
+                Step::Settle { shard, queries, threads, ends } => {
+                    world.settle(shard, queries, threads, ends);
+                }
+                Step::Wait(time) => world.now = world.now + Micros(u64::from(time)),
+                Step::Crash(shard) => world.crash(shard),
+            }
+            world.check()?;
+        }
+    }
+
+    /// What a shard is told of the others is what they told, whatever was lent and voided in between.
+    #[test]
+    fn what_has_been_lent_comes_back(steps in vec(step(), 1..60)) {
+        let mut world = World::new();
+        for step in steps {
+            match step {
+                Step::Borrow { shard, wants } => world.borrow(shard, wants),
+                Step::Settle { shard, queries, threads, ends } => {
+                    world.settle(shard, queries, threads, ends);
+                }
+                Step::Wait(time) => world.now = world.now + Micros(u64::from(time)),
+                Step::Crash(shard) => world.crash(shard),
+            }
+        }
+        world.now = world.now + LEASE + Micros(1);
+        world.ledger.expire(world.now);
+        for engine in (0..ENGINES).map(EngineId) {
+            let out: f64 = world.shards.iter().map(|shard| shard.threads(engine)).sum();
+            let (told, lent) = world.ledger.held(engine);
+            prop_assert_eq!(lent, 0.0);
+            // What ended on a lease that was void is told with the next one that stands.
+            prop_assert!(out <= told, "{} out, {} known", out, told);
+        }
+    }
+}
+
+fn terms(shards: usize) -> Terms {
+    Terms {
+        shards,
+        lease: LEASE,
+        cold_window: WINDOW,
+        credit_cap: 4.0,
+        open: OPEN,
+    }
+}
+
+fn wish(threads: f64, cold: bool) -> Wish {
+    Wish {
+        threads,
+        heaviest: HEAVIEST,
+        engines: vec![(EngineId(1), LIMIT, cold)],
+    }
+}
+
+fn holds(threads: f64, until: Micros) -> Published {
+    let out = Out {
+        threads,
+        groups: vec![GroupId(7)],
+        ..Out::default()
+    };
+    Published {
+        engines: vec![(EngineId(1), out)],
+        classes: vec![ClassOut {
+            threads,
+            memory_mb: 0.0,
+        }],
+        waiting: vec![vec![0, 2]],
+        until,
+        ..Published::default()
+    }
+}
+
+fn room(loan: &Loan) -> f64 {
+    loan.siblings.engines[0].room.0
+}
+
+#[test]
+fn what_is_free_goes_to_the_shard_that_waits_at_its_next_decision() {
+    let mut ledger = Ledger::new(terms(2));
+    let (first, second) = (ShardId(0), ShardId(1));
+    let loan = ledger.borrow(first, Micros(0), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), LIMIT, "nobody else wants any");
+    assert!(
+        ledger
+            .settle(first, loan.ticket, Micros(1), holds(8.0, Micros(900)))
+            .stands
+    );
+    let loan = ledger.borrow(second, Micros(2), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), 2.0);
+    assert_eq!(loan.siblings.engines[0].out.threads, 8.0);
+    assert_eq!(loan.siblings.waiting, [[0, 2]]);
+    assert!(
+        ledger
+            .settle(second, loan.ticket, Micros(3), holds(2.0, Micros(900)))
+            .stands
+    );
+    // Its end is told to the one that waits, which then has the room.
+    let loan = ledger.borrow(first, Micros(4), &wish(0.0, false), 0);
+    let settled = ledger.settle(first, loan.ticket, Micros(5), holds(0.0, Micros(900)));
+    assert_eq!(settled.wake, [second]);
+    let loan = ledger.borrow(second, Micros(6), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), 8.0);
+}
+
+#[test]
+fn a_lease_that_ran_out_is_void_and_its_room_is_lent_again() {
+    let mut ledger = Ledger::new(terms(2));
+    let (first, second) = (ShardId(0), ShardId(1));
+    let stalled = ledger.borrow(first, Micros(0), &wish(30.0, false), 0);
+    let loan = ledger.borrow(second, Micros(10), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), 0.0);
+    assert!(
+        ledger
+            .settle(second, loan.ticket, Micros(11), holds(0.0, Micros(0)))
+            .stands
+    );
+    let loan = ledger.borrow(second, Micros(60), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), LIMIT);
+    let late = ledger.settle(first, stalled.ticket, Micros(61), holds(8.0, Micros(900)));
+    assert!(!late.stands, "what it decided must not be sent");
+    assert_eq!(ledger.voided(), 1);
+    assert!(
+        ledger
+            .settle(second, loan.ticket, Micros(62), holds(8.0, Micros(900)))
+            .stands
+    );
+}
+
+#[test]
+fn what_a_silent_shard_has_out_counts_until_it_must_have_ended() {
+    let mut ledger = Ledger::new(terms(2));
+    let (silent, other) = (ShardId(0), ShardId(1));
+    let loan = ledger.borrow(silent, Micros(0), &wish(8.0, false), 0);
+    assert!(
+        ledger
+            .settle(silent, loan.ticket, Micros(1), holds(8.0, Micros(500)))
+            .stands
+    );
+    let loan = ledger.borrow(other, Micros(400), &wish(30.0, false), 0);
+    assert_eq!(
+        (room(&loan), loan.siblings.engines[0].out.groups.len()),
+        (2.0, 1)
+    );
+    let loan = ledger.borrow(other, Micros(600), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), LIMIT);
+}
+
+#[test]
+fn of_a_shard_that_died_nothing_is_out_but_what_it_sent_to_a_cold_engine_counts() {
+    let mut ledger = Ledger::new(terms(2));
+    let (dead, other) = (ShardId(0), ShardId(1));
+    let loan = ledger.borrow(dead, Micros(0), &wish(8.0, true), 0);
+    let mut told = holds(8.0, Micros(500));
+    told.sent = vec![(EngineId(1), 2.5)];
+    assert!(ledger.settle(dead, loan.ticket, Micros(1), told).stands);
+    ledger.crash(dead);
+    for shard in [other, dead] {
+        let loan = ledger.borrow(shard, Micros(100), &wish(8.0, true), 0);
+        let share = &loan.siblings.engines[0];
+        assert_eq!((share.out.threads, share.cold_work), (0.0, 2.5));
+        assert!(
+            ledger
+                .settle(shard, loan.ticket, Micros(101), holds(0.0, Micros(0)))
+                .stands
+        );
+    }
+}
+
+#[test]
+fn only_one_shard_at_a_time_borrows_room_on_a_cold_engine() {
+    let mut ledger = Ledger::new(terms(2));
+    let first = ledger.borrow(ShardId(0), Micros(0), &wish(4.0, true), 0);
+    let second = ledger.borrow(ShardId(1), Micros(0), &wish(4.0, true), 0);
+    assert_eq!((room(&first), room(&second)), (4.0, 0.0));
+    assert!(
+        ledger
+            .settle(ShardId(0), first.ticket, Micros(1), holds(0.0, Micros(0)))
+            .stands
+    );
+    let second = ledger.borrow(ShardId(1), Micros(2), &wish(4.0, true), 0);
+    assert_eq!(room(&second), 4.0);
+}
+
+#[test]
+fn credit_is_one_for_all_shards() {
+    let mut ledger = Ledger::new(terms(2));
+    for (shard, change) in [(0, 0.5), (1, 0.75)] {
+        let loan = ledger.borrow(ShardId(shard), Micros(0), &wish(0.0, false), 0);
+        let told = Published {
+            class_credit: vec![change, -change],
+            tenant_credit: vec![vec![], vec![change]],
+            ..Published::default()
+        };
+        assert!(
+            ledger
+                .settle(ShardId(shard), loan.ticket, Micros(1), told)
+                .stands
+        );
+    }
+    let loan = ledger.borrow(ShardId(0), Micros(2), &wish(0.0, false), 0);
+    assert_eq!(loan.siblings.class_credit, [1.25, -1.25]);
+    assert_eq!(loan.siblings.tenant_credit, [vec![], vec![1.25]]);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,8 +23,10 @@
 //! ```
 
 mod interface;
+mod parts;
 mod policy;
 mod state;
 
 pub use interface::*;
+pub use parts::{ClassOut, EngineShare, Out, Published, Room, Siblings, Wish};
 pub use policy::Gateway;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 //! waits in the queue of its class and tenant, and Most Credit First says who goes next.
 
 use crate::interface::*;
+use crate::parts::Elsewhere;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,7 +17,7 @@
 /// Threads out a core, over all gateways, that an engine under pressure gets (DESIGN).
 const THREADS_PER_CORE: f64 = 2.0;
 /// Own threads beyond this multiple of the budget are pressure by themselves: the signs come late.
-const OWN_EXCESS: f64 = 2.0;
+pub(crate) const OWN_EXCESS: f64 = 2.0;
 /// Slower than usual by this factor is pressure.
 const PRESSED: f64 = 1.5;
 /// An answer that took this many times what its work takes alone tells of a crowd.
@@ -138,14 +139,15 @@
 /// The decisions of one gateway.
 #[derive(Default)]
 pub struct Gateway {
-    settings: Settings,
+    pub(crate) settings: Settings,
     now: Micros,
     started_at: Option<Micros>,
-    engines: BTreeMap<EngineId, EngineView>,
-    requests: BTreeMap<RequestId, Request>,
-    queues: Queues,
-    class_credit: Credit,
-    tenant_credit: Vec<Credit>,
+    pub(crate) engines: BTreeMap<EngineId, EngineView>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    pub(crate) queues: Queues,
+    pub(crate) class_credit: Credit,
+    pub(crate) tenant_credit: Vec<Credit>,
+    pub(crate) elsewhere: Elsewhere,
     usual: Vec<Usual>,
     fleet: Fleet,
     /// For draws that spread the gateways apart.
@@ -278,7 +280,7 @@
     }
 
     /// Threads that this gateway may have out on the engine while it is under pressure.
-    fn budget(&self, engine: &EngineView) -> f64 {
+    pub(crate) fn budget(&self, engine: &EngineView) -> f64 {
         engine.able_cores(self.fleet.pace) * THREADS_PER_CORE / self.gateways()
     }
 
@@ -297,7 +299,7 @@
     fn load(&self, engine: &EngineView) -> f64 {
         let told = self.told(engine).unwrap_or(self.fleet.told);
         let expected = told * engine.cores + engine.threads_since;
-        let own = engine.threads_out;
+        let own = engine.all_threads();
         let threads = if self.small_part { expected } else { own };
         threads / engine.able_cores(self.fleet.pace)
     }
@@ -308,12 +310,15 @@
     fn has_slot(&self, engine: &EngineView, request: &Request) -> bool {
         let pressed = engine.pace > PRESSED.ln() || self.now < engine.pressed_until;
         let limit = self.budget(engine) * if pressed { 1.0 } else { OWN_EXCESS };
-        let memory_mb = engine.memory_out + self.need(request);
+        let memory_mb = engine.all_memory() + self.need(request);
         let room = memory_mb * self.gateways() <= engine.memory_mb;
+        if request.threads > engine.elsewhere.room.0 {
+            return false;
+        }
         if self.small_part {
             return self.told(engine).is_none() || self.load(engine) < FULL_TOLD;
         }
-        engine.threads_out == 0.0 || (engine.threads_out + request.threads <= limit && room)
+        engine.all_threads() == 0.0 || (engine.all_threads() + request.threads <= limit && room)
     }
 
     /// Whether this gateway's part of the whole fleet leaves room: one query always, more within a multiple
@@ -328,15 +333,17 @@
         let light = self.light(request.class);
         let (mut threads, mut memory_mb) = (0.0, self.need(request));
         let out = |other: &&Request| other.attempts_out() > 0;
-        for other in self.requests.values().filter(out) {
-            memory_mb += other.memory_held;
-            if !light || self.light(other.class) {
-                threads += other.threads;
+        let own = self.requests.values().filter(out);
+        let own = own.map(|other| (other.class, other.threads, other.memory_held));
+        for (class, held, memory_held) in own.chain(self.elsewhere.out()) {
+            memory_mb += memory_held;
+            if !light || self.light(class) {
+                threads += held;
             }
         }
         let fits = threads + request.threads <= self.fleet.threads * self.multiple
             && (self.settings.memory_line || memory_mb <= self.fleet.memory_mb * self.multiple);
-        threads == 0.0 || fits
+        request.threads <= self.elsewhere.room.0 && (threads == 0.0 || fits)
     }
 
     /// Memory that the query will hold, by its estimate and what its class lacked lately.
@@ -748,14 +755,13 @@
     /// earlier life of this gateway, of which nothing is known, is a window away.
     fn cold_allows(&self, request: &Request, engine: &EngineView) -> bool {
         let (settings, now) = (&self.settings, self.now);
-        let (started, window) = (engine.entry.started_at, settings.overload_for);
-        if started == Micros(0) || now >= started + settings.warm_after {
+        let window = settings.overload_for;
+        if !self.is_cold(engine, now) {
             return true;
         }
         let able = engine.cores * settings.start_capacity * window.0 as f64 / 1e6;
         let part = settings.fall_multiple * able * COLD_MARGIN / self.gateways();
-        let recent = engine.sends.iter().filter(|(at, _)| *at + window > now);
-        let sent: f64 = recent.map(|(_, work)| work).sum();
+        let sent = engine.work_sent(now, window);
         let settled = self.started_at.is_some_and(|at| now >= at + window);
         settled && sent + self.weight(request) <= part
     }
@@ -780,6 +786,7 @@
         }
         request.memory_held = need;
         engine.begins(request, self.settings.classes[request.class].holds_group);
+        self.elsewhere.room.0 -= request.threads;
         engine.sent(now, window, work);
         if let (Some(budget), false) = (self.settings.attempt_budget, request.attempts.is_empty()) {
             self.extra.add(now, budget.window);
@@ -958,7 +965,7 @@
     fn held_there(&self, engine: &EngineView, group: GroupId) -> bool {
         let told = engine.held_by_others.iter();
         let mut told = told.filter(|(_, until)| self.now < *until);
-        engine.held.contains(&group) || told.any(|(held, _)| *held == group)
+        engine.holds_now(group) || told.any(|(held, _)| *held == group)
     }
 
     /// Whether an attempt needs far more than a fresh one: guards against bad plans and lost attempts.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway remembers of requests and engines: plain records, no decisions.
 
 use crate::interface::*;
+use crate::parts::EngineShare;
 use std::collections::VecDeque;
 
 pub(crate) struct Attempt {
@@ -121,6 +122,10 @@
     pub rests_until: Option<Micros>,
     /// Work sent in the last cold window.
     pub sends: VecDeque<(Micros, f64)>,
+    /// Work sent that the siblings of this part have not been told of.
+    pub unpublished: f64,
+    /// What the siblings hold here.
+    pub elsewhere: EngineShare,
 }
 
 impl EngineView {
@@ -128,6 +133,27 @@
         self.entry.state == EngineState::Ready
     }
 
+    /// Threads out of this part and of its siblings.
+    pub fn all_threads(&self) -> f64 {
+        self.threads_out + self.elsewhere.out.threads
+    }
+
+    /// Memory out of this part and of its siblings.
+    pub fn all_memory(&self) -> f64 {
+        self.memory_out + self.elsewhere.out.memory_mb
+    }
+
+    /// A load of this part or of a sibling holds the group here.
+    pub fn holds_now(&self, group: GroupId) -> bool {
+        self.held.contains(&group) || self.elsewhere.out.groups.contains(&group)
+    }
+
+    /// Work sent here within a window that ends now, by all parts.
+    pub fn work_sent(&self, now: Micros, window: Micros) -> f64 {
+        let recent = self.sends.iter().filter(|(at, _)| *at + window > now);
+        recent.map(|(_, work)| work).sum::<f64>() + self.elsewhere.cold_work
+    }
+
     /// Takes a new entry of the list; what was held against an earlier process does not count.
     pub fn renew(&mut self, entry: Engine, kind: Kind) {
         (self.cores, self.memory_mb) = (kind.cores.max(1.0), kind.memory_mb);
@@ -143,6 +169,7 @@
     pub fn begins(&mut self, request: &Request, load: bool) {
         self.threads_out += request.threads;
         self.threads_since += request.threads;
+        self.elsewhere.room.0 -= request.threads;
         self.memory_out += request.memory_held;
         self.attempts_out += 1;
         if load {
@@ -160,6 +187,7 @@
     pub fn sent(&mut self, now: Micros, window: Micros, work: f64) {
         self.sends.retain(|(at, _)| *at + window > now);
         self.sends.push_back((now, work));
+        self.unpublished += work;
     }
 
     pub fn ends(&mut self, request: &Request, load: bool) {
@@ -226,12 +254,15 @@
 #[derive(Default)]
 pub(crate) struct Queues {
     pub lines: Vec<Vec<VecDeque<RequestId>>>,
+    /// How many wait at siblings, by class and tenant.
+    pub elsewhere: Vec<Vec<usize>>,
 }
 
 impl Queues {
     pub fn new(classes: usize, tenants: usize) -> Queues {
         Queues {
             lines: vec![vec![VecDeque::new(); tenants]; classes],
+            elsewhere: Vec::new(),
         }
     }
 
@@ -257,8 +288,13 @@
         line.retain(|other| *other != request.query.id);
     }
 
+    fn elsewhere(&self, class: usize) -> &[usize] {
+        self.elsewhere.get(class).map_or(&[], Vec::as_slice)
+    }
+
     pub fn len(&self, class: usize) -> usize {
-        self.lines[class].iter().map(VecDeque::len).sum()
+        let own: usize = self.lines[class].iter().map(VecDeque::len).sum();
+        own + self.elsewhere(class).iter().sum::<usize>()
     }
 
     pub fn classes_waiting(&self) -> Vec<usize> {
@@ -267,10 +303,11 @@
     }
 
     pub fn tenants_waiting(&self, class: usize) -> Vec<usize> {
-        let lines = &self.lines[class];
+        let (lines, elsewhere) = (&self.lines[class], self.elsewhere(class));
+        let told = |tenant: usize| elsewhere.get(tenant).is_some_and(|&count| count > 0);
         let tenants = 0..lines.len();
         tenants
-            .filter(|&tenant| !lines[tenant].is_empty())
+            .filter(|&tenant| !lines[tenant].is_empty() || told(tenant))
             .collect()
     }
 }
