--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -1,38 +1,28 @@
 //! What the administration asks of the broker, and what has been counted for it.
 
 use super::Broker;
-use miniserde::{Serialize, json};
 use sedgebeam_core::{ClassId, Outcome, Tenant, TenantId};
-use sedgebeam_port::{Answer, Asked, Denied, Listing, Target};
+use sedgebeam_port::{
+    Answer, Answers, Asked, Counters, Denied, EngineRow, Health, Listing, Target, TenantRow, Told,
+};
 use std::collections::BTreeMap;
 
-/// How requests have ended; what is neither has its client gone or is still open.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Answers {
-    pub taken: u64,
-    pub served: u64,
-    pub refused: u64,
-    pub failed: u64,
-}
-
-impl Answers {
-    fn add(&mut self, answer: &Answer) {
-        match answer {
-            Answer::Rows(_) => self.served += 1,
-            Answer::Refused { .. } => self.refused += 1,
-            Answer::Failed(_) => self.failed += 1,
-        }
-    }
-}
-
-/// Requests by class and tenant, and attempts by outcome, since the start.
+/// What is counted by class and tenant, by their places, and attempts by outcome.
 #[derive(Debug, Default)]
-pub struct Counters {
+pub struct Tally {
     classes: Vec<Answers>,
     tenants: Vec<Answers>,
     attempts: BTreeMap<&'static str, u64>,
 }
 
+fn count(answers: &mut Answers, answer: &Answer) {
+    match answer {
+        Answer::Rows(_) => answers.served += 1,
+        Answer::Refused { .. } => answers.refused += 1,
+        Answer::Failed(_) => answers.failed += 1,
+    }
+}
+
 fn at(list: &mut Vec<Answers>, place: usize) -> &mut Answers {
     if list.len() <= place {
         list.resize(place + 1, Answers::default());
@@ -40,7 +30,7 @@
     &mut list[place]
 }
 
-impl Counters {
+impl Tally {
     pub fn taken(&mut self, class: ClassId, tenant: Option<TenantId>) {
         at(&mut self.classes, class.0).taken += 1;
         if let Some(tenant) = tenant {
@@ -49,9 +39,9 @@
     }
 
     pub fn answered(&mut self, class: ClassId, tenant: Option<TenantId>, answer: &Answer) {
-        at(&mut self.classes, class.0).add(answer);
+        count(at(&mut self.classes, class.0), answer);
         if let Some(tenant) = tenant {
-            at(&mut self.tenants, tenant.0).add(answer);
+            count(at(&mut self.tenants, tenant.0), answer);
         }
     }
 
@@ -73,36 +63,6 @@
 /// Each has a line a class in the module.
 const MOST_TENANTS: usize = 1000;
 
-#[derive(Serialize)]
-struct Health {
-    ready: bool,
-    engines: usize,
-    open: usize,
-}
-
-#[derive(Serialize)]
-struct Counted {
-    classes: BTreeMap<String, Answers>,
-    tenants: BTreeMap<String, Answers>,
-    attempts: BTreeMap<String, u64>,
-}
-
-#[derive(Serialize)]
-struct EngineRow {
-    uid: String,
-    endpoint: String,
-    state: String,
-    drained: bool,
-    out: usize,
-}
-
-#[derive(Serialize)]
-struct TenantRow {
-    name: String,
-    portion: f64,
-    allowance_per_s: f64,
-}
-
 /// Names with what was counted under them; what is not counted yet is nothing.
 fn named(names: &[String], counted: &[Answers]) -> BTreeMap<String, Answers> {
     let counted = counted
@@ -113,7 +73,7 @@
 }
 
 impl Broker {
-    pub(super) fn administer(&mut self, asked: Asked) -> Result<String, Denied> {
+    pub(super) fn administer(&mut self, asked: Asked) -> Result<Told, Denied> {
         match asked {
             Asked::Health => {
                 let engines = self.engines.values().filter(|known| known.ready).count();
@@ -123,7 +83,7 @@
                     .values()
                     .filter(|open| open.reply.is_some())
                     .count();
-                return Ok(json::to_string(&Health {
+                return Ok(Told::Health(Health {
                     ready,
                     engines,
                     open,
@@ -161,9 +121,9 @@
         Ok(known.target.clone())
     }
 
-    fn counted(&self) -> String {
+    fn counted(&self) -> Told {
         let attempts = self.counters.attempts.iter();
-        json::to_string(&Counted {
+        Told::Counters(Counters {
             classes: named(&self.names.classes, &self.counters.classes),
             tenants: named(&self.names.tenants, &self.counters.tenants),
             attempts: attempts
@@ -172,7 +132,7 @@
         })
     }
 
-    fn engine_rows(&self) -> String {
+    fn engine_rows(&self) -> Told {
         let row = |(id, known): (&sedgebeam_core::EngineId, &super::Known)| EngineRow {
             uid: known.target.uid.clone(),
             endpoint: known.target.endpoint.clone(),
@@ -185,16 +145,16 @@
                 .filter(|(_, out)| out.engine == *id)
                 .count(),
         };
-        json::to_string(&self.engines.iter().map(row).collect::<Vec<_>>())
+        Told::Engines(self.engines.iter().map(row).collect())
     }
 
-    fn tenant_rows(&self) -> String {
+    fn tenant_rows(&self) -> Told {
         let row = |tenant: &Tenant| TenantRow {
             name: tenant.name.clone(),
             portion: tenant.share,
             allowance_per_s: tenant.per_second,
         };
-        json::to_string(&self.settings.tenants.iter().map(row).collect::<Vec<_>>())
+        Told::Tenants(self.settings.tenants.iter().map(row).collect())
     }
 
     fn set_tenant(&mut self, name: String, share: f64, per_second: f64) -> Result<(), Denied> {
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -4,11 +4,13 @@
 //! came, in batches no closer than a tick, one outcome for each send, and attempts numbered from 0.
 
 mod admin;
+pub mod parts;
 mod requests;
 #[cfg(test)]
 mod tests;
 
-use admin::Counters;
+use admin::Tally;
+use parts::Part;
 use requests::{Open, Out};
 use sedgebeam_core::{
     Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, ListKind,
@@ -16,8 +18,8 @@
 };
 use sedgebeam_port::clock::{Clock, duration, span};
 use sedgebeam_port::{
-    Answer, Attempt, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing, NewRequest,
-    Page, Probe, Report, Reports, SessionKey, Target, ToBroker, ToEngine,
+    Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
+    NewRequest, Page, Probe, Report, Reports, SessionKey, Target, ToBroker, ToEngine,
 };
 use sedgebeam_settings::{Names, micros};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -53,6 +55,9 @@
     /// The requests that may be open at once.
     most_open: usize,
     world: Arc<dyn Engines>,
+    part: Option<Part>,
+    /// Another shard has let go what this one may be waiting for.
+    woken: bool,
     clock: Clock,
     own: BrokerBox,
     open: HashMap<RequestId, Open>,
@@ -60,7 +65,7 @@
     engines: BTreeMap<EngineId, Known>,
     /// Engines that the administration has drained, whatever the list says.
     drained: BTreeSet<String>,
-    counters: Counters,
+    counters: Tally,
     /// Events that the gateway has not been told yet.
     events: Vec<Event>,
     /// Requests that are over and have nothing out, once the gateway knows.
@@ -81,6 +86,8 @@
     pub clock: Clock,
     /// Starts the actors of engines.
     pub world: Arc<dyn Engines>,
+    /// Where this is one shard of several.
+    pub part: Option<Part>,
 }
 
 /// The broker and its mailbox.
@@ -98,13 +105,15 @@
         names: setup.names,
         most_open: setup.most_open,
         world: setup.world,
+        part: setup.part,
+        woken: false,
         clock: setup.clock,
         own: own.clone(),
         open: HashMap::new(),
         sessions: HashMap::new(),
         engines: BTreeMap::new(),
         drained: BTreeSet::new(),
-        counters: Counters::default(),
+        counters: Tally::default(),
         events: Vec::new(),
         over: Vec::new(),
         due: BTreeMap::new(),
@@ -125,6 +134,7 @@
                     Some(message) => self.take(message),
                     None => return,
                 },
+                () = woken(self.part.as_ref()) => self.woken = true,
                 () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {}
             }
             for _ in 0..MOST_AT_ONCE {
@@ -134,8 +144,11 @@
                 }
             }
             let now = Instant::now();
+            if let Some(part) = &self.part {
+                part.beat();
+            }
             self.fall_due(now);
-            if !self.events.is_empty() && now >= self.next_batch(now) {
+            if self.has_news() && now >= self.next_batch(now) {
                 self.batch(now);
             }
         }
@@ -147,9 +160,15 @@
     }
 
     fn wakes_at(&self) -> Option<Instant> {
-        let batch = (!self.events.is_empty()).then(|| self.next_batch(Instant::now()));
+        let batch = self.has_news().then(|| self.next_batch(Instant::now()));
         let due = self.due.first_key_value().map(|((at, _), _)| *at);
-        batch.into_iter().chain(due).min()
+        let beat = self.part.as_ref().map(|_| Instant::now() + BEAT);
+        batch.into_iter().chain(due).chain(beat).min()
+    }
+
+    /// Whether the gateway has something to hear.
+    fn has_news(&self) -> bool {
+        self.woken || !self.events.is_empty()
     }
 
     fn at(&mut self, when: Instant, due: Due) {
@@ -170,6 +189,7 @@
     /// Tells the gateway what has happened and does what it says.
     fn batch(&mut self, now: Instant) {
         self.last_batch = Some(now);
+        self.woken = false;
         let mut events = std::mem::take(&mut self.events);
         for event in &mut events {
             if let Event::Request(query) = event {
@@ -182,13 +202,57 @@
         }
         let told = std::mem::take(&mut self.over);
         events.iter().for_each(|event| log::trace!("{event:?}"));
-        let actions = self.gateway.handle(self.clock.micros(now), events);
+        let (actions, stands) = self.decide(now, events);
         for action in actions {
             log::trace!("{action:?}");
-            self.act(action, now);
+            match action {
+                Action::Send {
+                    request, engine, ..
+                } if !stands => self.not_sent(request, engine, now),
+                action => self.act(action, now),
+            }
         }
         for id in told {
             self.open.remove(&id);
+            if let Some(part) = &self.part {
+                part.release(id);
+            }
+        }
+    }
+
+    /// What the gateway says, and whether it may be carried out: as one shard of several it decides on room
+    /// that it has borrowed, and what it decides too late may have been given to others.
+    fn decide(&mut self, now: Instant, events: Vec<Event>) -> (Vec<Action>, bool) {
+        let at = self.clock.micros(now);
+        let Some(part) = self.part.clone() else {
+            return (self.gateway.handle(at, events), true);
+        };
+        let classes = &self.settings.classes;
+        let arriving = events.iter().map(|event| match event {
+            Event::Request(query) => classes
+                .get(query.class.0)
+                .map_or(1.0, |c| c.threads.max(1.0)),
+            _ => 0.0,
+        });
+        let wish = self.gateway.wish(at, arriving.sum());
+        let loan = part.borrow(at, &wish, self.open.len());
+        self.most_open = loan.open;
+        self.gateway.hear(loan.siblings);
+        let actions = self.gateway.handle(at, events);
+        let told = self.gateway.publish();
+        let stands = part.settle(loan.ticket, self.clock.micros(Instant::now()), told);
+        if !stands {
+            log::warn!("a decision took too long: nothing of it is sent");
+        }
+        (actions, stands)
+    }
+
+    /// A send that must not be made: it never ran.
+    fn not_sent(&mut self, id: RequestId, to: EngineId, now: Instant) {
+        if let Some(open) = self.open.get_mut(&id) {
+            let number = AttemptNo(open.attempts.len() as u32);
+            open.attempts.push(None);
+            self.report(id, number, to, Outcome::Moot, now, now);
         }
     }
 
@@ -277,6 +341,10 @@
             let _ = reply.send(Answer::Failed(Failure::Tenant));
             return;
         }
+        if self.part.as_ref().is_some_and(|part| !part.claim(id)) {
+            let _ = reply.send(Answer::Failed(Failure::Duplicate));
+            return;
+        }
         self.counters.taken(request.class, tenant);
         self.events.push(Event::Request(Query {
             id,
@@ -512,7 +580,12 @@
             let id = self.identify(&target.uid);
             let state = self.state(target);
             match state {
-                EngineState::Gone => self.forget(id),
+                EngineState::Gone => {
+                    self.forget(id);
+                    if let Some(part) = &self.part {
+                        part.forget(&target.uid);
+                    }
+                }
                 state => self.know(id, target, state == EngineState::Ready),
             }
             engines.push(self.entry(id, target, state));
@@ -566,12 +639,10 @@
         if let Some((id, _)) = known {
             return *id;
         }
-        let told = uid
-            .rsplit('-')
-            .next()
-            .and_then(|hex| u64::from_str_radix(hex, 16).ok());
-        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        let mut number = told.unwrap_or_else(|| uid.bytes().fold(0xcbf2_9ce4_8422_2325, step));
+        if let Some(part) = &self.part {
+            return part.identify(uid, || number_in(uid));
+        }
+        let mut number = number_in(uid);
         while self.engines.contains_key(&EngineId(number)) {
             number = number.wrapping_add(1);
         }
@@ -612,6 +683,9 @@
     fn forget(&mut self, id: EngineId) {
         if let Some(known) = self.engines.remove(&id) {
             log::info!("engine {}: no longer listed", known.target.uid);
+            if let Some(part) = &self.part {
+                part.forget(&known.target.uid);
+            }
             post(&known.mailbox, ToEngine::NothingNew);
         }
     }
@@ -636,6 +710,22 @@
     }
 }
 
+/// The number that an engine's name ends in, or else one made of it.
+fn number_in(uid: &str) -> u64 {
+    let told = uid.rsplit('-').next();
+    let told = told.and_then(|hex| u64::from_str_radix(hex, 16).ok());
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    told.unwrap_or_else(|| uid.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
+
+/// Waits until another shard has let something go; for ever, where there is none.
+async fn woken(part: Option<&Part>) {
+    match part {
+        Some(part) => part.woken().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn probed(probe: Probe) -> (Outcome, Option<sedgebeam_core::Load>) {
     match probe {
         Probe::Up(load) => (Outcome::Ok, load),
--- /dev/null
+++ b/broker/src/parts.rs
@@ -0,0 +1,166 @@
+//! A broker as one shard of several: what it shares with its siblings.
+
+use sedgebeam_core::{EngineId, Micros, Published, RequestId, Wish};
+use sedgebeam_leases::{Ledger, Loan, Settled, ShardId, Terms, Ticket};
+use sedgebeam_port::Desk;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// Maps of open requests: as many, so that shards seldom meet at one.
+const STRIPES: usize = 64;
+/// A decision that takes longer than this is not carried out: others may have been given its room.
+const LEASE: Micros = Micros::from_millis(250);
+
+/// An engine's number, and the shards that know it: without the latter, names of engines that have long
+/// gone would be kept for ever.
+#[derive(Default)]
+struct Numbered {
+    id: EngineId,
+    known_at: BTreeSet<ShardId>,
+}
+
+type Stripe = Mutex<HashMap<RequestId, ShardId>>;
+
+/// What the shards of one dispatcher share.
+pub struct Shared {
+    ledger: Mutex<Ledger>,
+    /// Wakes a shard that waits for what another has let go.
+    wakes: Vec<Notify>,
+    /// Which shard has a request: one name is open once, whichever shard is asked.
+    open: Vec<Stripe>,
+    /// The numbers of engines, the same at all shards.
+    engines: Mutex<HashMap<String, Numbered>>,
+    pub desk: Desk,
+}
+
+/// Nothing panics while these are held; what they hold would be whole all the same.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    pub fn new(shards: usize, open: usize, cold_window: Micros, desk: Desk) -> Arc<Shared> {
+        let terms = Terms {
+            shards,
+            lease: LEASE,
+            cold_window,
+            credit_cap: sedgebeam_core::CREDIT_CAP,
+            open,
+        };
+        Arc::new(Shared {
+            ledger: Mutex::new(Ledger::new(terms)),
+            wakes: (0..shards).map(|_| Notify::new()).collect(),
+            open: (0..STRIPES).map(|_| Mutex::default()).collect(),
+            engines: Mutex::default(),
+            desk,
+        })
+    }
+
+    fn wake(&self, shards: &[ShardId]) {
+        let wakes = shards.iter().filter_map(|shard| self.wakes.get(shard.0));
+        wakes.for_each(Notify::notify_one);
+    }
+
+    /// A shard's broker has died, and with it the actors of its engines and their connections.
+    pub fn crash(&self, shard: usize) {
+        let waiters = lock(&self.ledger).crash(ShardId(shard));
+        for stripe in &self.open {
+            lock(stripe).retain(|_, at| *at != ShardId(shard));
+        }
+        let mut engines = lock(&self.engines);
+        engines.retain(|_, engine| {
+            engine.known_at.remove(&ShardId(shard));
+            !engine.known_at.is_empty()
+        });
+        drop(engines);
+        self.wake(&waiters);
+    }
+
+    /// Leases that were void before they were settled.
+    pub fn voided(&self) -> u64 {
+        lock(&self.ledger).voided()
+    }
+}
+
+/// One shard's hold on what is shared.
+#[derive(Clone)]
+pub struct Part {
+    shared: Arc<Shared>,
+    shard: ShardId,
+}
+
+impl Part {
+    pub fn new(shared: Arc<Shared>, shard: usize) -> Part {
+        Part {
+            shared,
+            shard: ShardId(shard),
+        }
+    }
+
+    pub fn borrow(&self, now: Micros, wish: &Wish, open: usize) -> Loan {
+        lock(&self.shared.ledger).borrow(self.shard, now, wish, open)
+    }
+
+    /// Whether what was decided may be carried out.
+    pub fn settle(&self, ticket: Ticket, now: Micros, told: Published) -> bool {
+        let settled = lock(&self.shared.ledger).settle(self.shard, ticket, now, told);
+        let Settled { stands, wake } = settled;
+        self.shared.wake(&wake);
+        stands
+    }
+
+    /// Becomes ready when another shard has let go what this one may be waiting for.
+    pub async fn woken(&self) {
+        self.shared.wakes[self.shard.0].notified().await;
+    }
+
+    pub fn beat(&self) {
+        self.shared.desk.beat(self.shard.0);
+    }
+
+    fn stripe(&self, id: RequestId) -> &Stripe {
+        &self.shared.open[(id.0 % STRIPES as u64) as usize]
+    }
+
+    /// Takes the name of a request; false where it is open, here or elsewhere.
+    pub fn claim(&self, id: RequestId) -> bool {
+        let mut open = lock(self.stripe(id));
+        if open.contains_key(&id) {
+            return false;
+        }
+        open.insert(id, self.shard);
+        true
+    }
+
+    pub fn release(&self, id: RequestId) {
+        lock(self.stripe(id)).remove(&id);
+    }
+
+    /// The number of an engine: that which the first shard gave it that heard of it.
+    pub fn identify(&self, uid: &str, first: impl FnOnce() -> u64) -> EngineId {
+        let mut engines = lock(&self.shared.engines);
+        if let Some(engine) = engines.get_mut(uid) {
+            engine.known_at.insert(self.shard);
+            return engine.id;
+        }
+        let mut id = EngineId(first());
+        while engines.values().any(|known| known.id == id) {
+            id = EngineId(id.0.wrapping_add(1));
+        }
+        let known_at = BTreeSet::from([self.shard]);
+        engines.insert(uid.to_string(), Numbered { id, known_at });
+        id
+    }
+
+    /// This shard knows the engine no longer.
+    pub fn forget(&self, uid: &str) {
+        let mut engines = lock(&self.shared.engines);
+        if let Some(engine) = engines.get_mut(uid) {
+            engine.known_at.remove(&self.shard);
+            if engine.known_at.is_empty() {
+                engines.remove(uid);
+            }
+        }
+    }
+}
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -35,6 +35,7 @@
         seed: 1,
         clock: Clock::start(),
         world: Arc::new(NoWorld),
+        part: None,
     }
 }
 
--- a/dispatcher/src/admin.rs
+++ b/dispatcher/src/admin.rs
@@ -14,11 +14,11 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use miniserde::{Deserialize, Serialize, json};
-use sedgebeam_port::{Asked, BrokerBox, Denied, Target, ToBroker, supervise};
+use sedgebeam_port::{Asked, Denied, Desk, Target, supervise};
 use std::io;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
@@ -162,7 +162,7 @@
 }
 
 /// Serves until the dispatcher ends.
-pub async fn serve(listener: TcpListener, broker: BrokerBox, mut ending: watch::Receiver<bool>) {
+pub async fn serve(listener: TcpListener, desk: Desk, mut ending: watch::Receiver<bool>) {
     let places = std::sync::Arc::new(Semaphore::new(MOST_CONNECTIONS));
     loop {
         // The semaphore is never closed.
@@ -175,9 +175,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let broker = broker.clone();
+                let desk = desk.clone();
                 let task = async move {
-                    if let Err(error) = connection(stream, broker).await {
+                    if let Err(error) = connection(stream, desk).await {
                         log::debug!("an administration client: {error}");
                     }
                     drop(place);
@@ -192,14 +192,14 @@
     }
 }
 
-async fn connection(stream: TcpStream, broker: BrokerBox) -> io::Result<()> {
+async fn connection(stream: TcpStream, desk: Desk) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut wire = Framed::new(stream, Http);
     while let Some(call) = timeout(IDLE, wire.next()).await.map_err(io::Error::other)? {
         let told = match call {
             Ok(call) => {
                 let (status, body) = match route(&call) {
-                    Ok(asked) => ask(&broker, asked).await,
+                    Ok(asked) => ask(&desk, asked).await,
                     Err(denied) => problem(&denied),
                 };
                 Told {
@@ -232,23 +232,15 @@
         Denied::Invalid(why) => (400, why.as_str()),
         Denied::Unknown(what) => (404, what.as_str()),
         Denied::Method => (405, "no such method here"),
+        Denied::Silent => (503, "the dispatcher is ending, or does not answer"),
     };
     (status, json::to_string(&Problem { error }))
 }
 
-async fn ask(broker: &BrokerBox, asked: Asked) -> (u16, String) {
-    let (reply, told) = oneshot::channel();
-    // A broker that is gone drops the reply.
-    let _ = broker.send(ToBroker::Admin(asked, reply)).await;
-    match told.await {
-        Ok(Ok(body)) => (200, body),
-        Ok(Err(denied)) => problem(&denied),
-        Err(_) => (
-            503,
-            json::to_string(&Problem {
-                error: "the dispatcher is ending",
-            }),
-        ),
+async fn ask(desk: &Desk, asked: Asked) -> (u16, String) {
+    match desk.ask(asked).await {
+        Ok(told) => (200, told.to_json()),
+        Err(denied) => problem(&denied),
     }
 }
 
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -1,7 +1,7 @@
 //! The one place where configuration is read, checked and given defaults.
 
 use crate::roster::{self, Change};
-use miniserde::json::Value;
+use miniserde::json::{Number, Value};
 use miniserde::{Deserialize, json};
 use sedgebeam_core::{Micros, Settings};
 use sedgebeam_port::Target;
@@ -24,6 +24,8 @@
 const ENGINES_PART: f64 = 0.35;
 /// Engines that may come on top of those that are known.
 const NEW_ENGINES: usize = 2;
+/// More workers than this are no use to a dispatcher, whose shards share every engine.
+const MOST_WORKERS: usize = 64;
 /// Bounds of the connections to one engine.
 const FEWEST_CONNECTIONS: usize = 2;
 const MOST_CONNECTIONS: usize = 32;
@@ -46,6 +48,9 @@
     pub settings: Settings,
     pub names: Names,
     pub connections: Connections,
+    /// Threads that serve, each with a shard of the decision module where there are several.
+    pub workers: usize,
+    pub pin_workers: bool,
 }
 
 /// The change log up to the start.
@@ -107,6 +112,8 @@
     engines: Option<Vec<Target>>,
     flight: Option<Listener>,
     admin: Option<Listener>,
+    workers: Option<Value>,
+    pin_workers: Option<bool>,
 }
 
 #[derive(Default, Deserialize)]
@@ -293,7 +300,9 @@
     let known = known(platform.known.or(own.known), own.engines)?;
     let mut connections = facts.connections();
     connections.max_open = connections.max_open.min((memory_mb * OPEN_PER_MB) as usize);
-    connections.most = engine_connections(sockets, roster::fold(known.changes.clone()).len());
+    let to_engine = engine_connections(sockets, roster::fold(known.changes.clone()).len());
+    let workers = workers(own.workers.as_ref())?;
+    connections.most = divided(to_engine, workers)?;
     let name = environment.name.clone().or(platform.name).or(own.name);
     let seeded = platform.seed.or(own.seed);
     Ok(Config {
@@ -309,9 +318,42 @@
         settings: settings(&facts)?,
         names: facts.names(),
         connections,
+        workers,
+        pin_workers: own.pin_workers.unwrap_or_default(),
     })
 }
 
+/// The number of workers, from a number or "auto", which is one for each core.
+fn workers(told: Option<&Value>) -> Result<usize, Wrong> {
+    let bad = |why: &str| Err(wrong("workers", why));
+    let count = match told {
+        None | Some(Value::Null) => 1,
+        Some(Value::String(word)) if word == "auto" => {
+            std::thread::available_parallelism().map_or(1, |cores| cores.get().min(MOST_WORKERS))
+        }
+        Some(Value::Number(Number::U64(count))) => usize::try_from(*count).unwrap_or(usize::MAX),
+        Some(_) => return bad("it is a whole number from 1, or \"auto\""),
+    };
+    match count {
+        0 => bad("there must be one at least"),
+        count if count > MOST_WORKERS => bad(&format!("there are {MOST_WORKERS} at most")),
+        count => Ok(count),
+    }
+}
+
+/// The part of each worker of the connections to an engine.
+fn divided(connections: usize, workers: usize) -> Result<usize, Wrong> {
+    match connections / workers {
+        0 => {
+            let why = format!(
+                "limits.sockets has room for {connections} connections to each engine: too few for {workers}"
+            );
+            Err(wrong("workers", why))
+        }
+        part => Ok(part),
+    }
+}
+
 /// The longest message: guards against sessions that all send the longest one at once.
 fn message(memory_mb: f64, sessions: usize) -> usize {
     let part = memory_mb * 1024.0 * 1024.0 * MESSAGES_PART / sessions as f64;
--- /dev/null
+++ b/dispatcher/src/crew.rs
@@ -0,0 +1,217 @@
+//! The workers: one on the program's own thread, or several, each with a thread, a runtime and a shard of
+//! the decision module of its own.
+//!
+//! Connections are accepted on the program's thread and handed over to workers; a request goes to the
+//! shard that its id names. A broker that dies takes no other with it: what it had taken is answered, its
+//! part of the engines returns to the others, and it is started anew.
+
+use crate::config::Config;
+use core_affinity::CoreId;
+use sedgebeam_broker::parts::{Part, Shared};
+use sedgebeam_broker::{self as broker, Setup};
+use sedgebeam_core::Effect;
+use sedgebeam_leases::placement::{self, Load};
+use sedgebeam_port::clock::{Clock, duration};
+use sedgebeam_port::{Desk, Engines, Losses, supervise};
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::time::Duration;
+use tokio::runtime::{Builder, Handle};
+use tokio::time::sleep;
+
+/// A broker that has died is started anew after this: one that dies at once must not spin.
+const REBIRTH: Duration = Duration::from_millis(50);
+
+/// One worker.
+#[derive(Clone)]
+pub struct Worker {
+    runtime: Handle,
+    connections: Arc<AtomicUsize>,
+}
+
+/// Counts a connection at its worker until it is dropped.
+pub struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Worker {
+    fn new(runtime: Handle) -> Worker {
+        Worker {
+            runtime,
+            connections: Arc::default(),
+        }
+    }
+
+    /// Runs a task there; its panic is logged.
+    pub fn watch(&self, name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
+        // What is spawned inside runs on the same worker.
+        let watched = async move {
+            supervise::watch(name.to_string(), task, || {});
+        };
+        self.runtime.spawn(watched);
+    }
+
+    pub fn count(&self) -> Counted {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        Counted(self.connections.clone())
+    }
+}
+
+/// All workers, and the desk before their brokers.
+pub struct Crew {
+    pub desk: Desk,
+    workers: Vec<Worker>,
+    shared: Option<Arc<Shared>>,
+    turn: AtomicUsize,
+}
+
+impl Crew {
+    /// Starts the brokers, on threads of their own where there are several workers.
+    pub async fn start(config: &Config, world: Arc<dyn Engines>) -> io::Result<Crew> {
+        let repeatable = |class: &sedgebeam_core::Class| class.effect == Effect::Repeatable;
+        let losses = Losses {
+            repeatable: config.settings.classes.iter().map(repeatable).collect(),
+            retry_after: duration(config.settings.max_retry_after),
+        };
+        let desk = Desk::new(config.workers, losses);
+        let setup = Setup {
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            most_open: config.connections.max_open,
+            seed: config.seed,
+            clock: Clock::start(),
+            world,
+            part: None,
+        };
+        if config.workers > 1 {
+            Crew::several(config, desk, setup).await
+        } else {
+            Crew::alone(desk, setup).await
+        }
+    }
+
+    async fn alone(desk: Desk, setup: Setup) -> io::Result<Crew> {
+        let (broker, mailbox, incoming) = broker::new(setup);
+        supervise::vital("the broker", broker.run(incoming));
+        let opened = desk.open(0, mailbox).await;
+        opened.map_err(|_| io::Error::other("the broker ended at once"))?;
+        Ok(Crew {
+            desk,
+            workers: vec![Worker::new(Handle::current())],
+            shared: None,
+            turn: AtomicUsize::new(0),
+        })
+    }
+
+    async fn several(config: &Config, desk: Desk, setup: Setup) -> io::Result<Crew> {
+        let window = setup.settings.overload_for;
+        let shared = Shared::new(config.workers, setup.most_open, window, desk.clone());
+        let cores = if config.pin_workers {
+            core_affinity::get_core_ids().unwrap_or_default()
+        } else {
+            Vec::new()
+        };
+        let mut workers = Vec::new();
+        for shard in 0..config.workers {
+            let core = cores.get(shard % cores.len().max(1)).copied();
+            let runtime = thread(shard, core)?;
+            let setup = Setup {
+                part: Some(Part::new(shared.clone(), shard)),
+                ..setup.clone()
+            };
+            let life = live(shard, setup, desk.clone(), shared.clone());
+            let worker = Worker::new(runtime);
+            worker.watch("a worker", life);
+            workers.push(worker);
+        }
+        let crew = Crew {
+            desk,
+            workers,
+            shared: Some(shared),
+            turn: AtomicUsize::new(0),
+        };
+        crew.ready().await;
+        Ok(crew)
+    }
+
+    /// Waits until every shard has come.
+    async fn ready(&self) {
+        while !(0..self.workers.len()).all(|shard| self.desk.lives(shard)) {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// Whether connections must be handed over to another thread.
+    pub fn is_several(&self) -> bool {
+        self.workers.len() > 1
+    }
+
+    /// The worker for a new connection.
+    pub fn place(&self) -> (usize, &Worker) {
+        let load = |(shard, worker): (usize, &Worker)| Load {
+            connections: worker.connections.load(Ordering::Relaxed),
+            lives: self.desk.lives(shard),
+        };
+        let loads: Vec<Load> = self.workers.iter().enumerate().map(load).collect();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let place = placement::place(&loads, turn);
+        (place, &self.workers[place])
+    }
+
+    /// Decisions that were not carried out as they came too late, over all shards.
+    pub fn voided(&self) -> u64 {
+        self.shared.as_ref().map_or(0, |shared| shared.voided())
+    }
+}
+
+/// Starts a thread with a runtime, which runs until the program ends.
+fn thread(shard: usize, core: Option<CoreId>) -> io::Result<Handle> {
+    let (told, hears) = mpsc::channel();
+    let run = move || {
+        if let Some(core) = core
+            && !core_affinity::set_for_current(core)
+        {
+            log::warn!("worker {shard} can't be pinned to core {}", core.id);
+        }
+        match Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => {
+                // Whoever asked for it waits for this word.
+                let _ = told.send(Ok(runtime.handle().clone()));
+                runtime.block_on(std::future::pending::<()>());
+            }
+            Err(error) => drop(told.send(Err(error))),
+        }
+    };
+    let name = format!("worker-{shard}");
+    std::thread::Builder::new().name(name).spawn(run)?;
+    hears.recv().map_err(io::Error::other)?
+}
+
+/// The life of a shard: its broker, and another one whenever that has died.
+async fn live(shard: usize, setup: Setup, desk: Desk, shared: Arc<Shared>) {
+    loop {
+        let (broker, mailbox, incoming) = broker::new(setup.clone());
+        let running = tokio::spawn(broker.run(incoming));
+        // A broker that is gone already is told of below.
+        let _ = desk.open(shard, mailbox).await;
+        let ended = running.await;
+        desk.close(shard);
+        match ended {
+            Ok(()) => return,
+            Err(error) => log::error!("the broker of worker {shard} died: {error}"),
+        }
+        shared.crash(shard);
+        sleep(REBIRTH).await;
+    }
+}
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod config;
+pub mod crew;
 pub mod import;
 pub mod reload;
 pub mod roster;
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -2,7 +2,7 @@
 
 use futures::StreamExt;
 use miniserde::{Deserialize, json};
-use sedgebeam_port::{BrokerBox, Listing, Target, ToBroker};
+use sedgebeam_port::{Desk, Listing, Target};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -60,11 +60,7 @@
 }
 
 /// Follows the change log for ever, wherever it is; where it is nowhere, that it is somewhere is waited for.
-pub async fn follow(
-    mut address: watch::Receiver<Option<SocketAddr>>,
-    mut seq: u64,
-    broker: BrokerBox,
-) {
+pub async fn follow(mut address: watch::Receiver<Option<SocketAddr>>, mut seq: u64, desk: Desk) {
     let mut pause = FIRST_PAUSE;
     loop {
         let before = seq;
@@ -79,14 +75,11 @@
                 pause = FIRST_PAUSE;
                 continue;
             }
-            ended = listen(current, &mut seq, &broker) => match ended {
+            ended = listen(current, &mut seq, &desk) => match ended {
                 Ok(()) => log::info!("the change log ended the connection after {seq}"),
                 Err(error) => log::warn!("the change log after {seq}: {error}"),
             },
         }
-        if broker.is_closed() {
-            return;
-        }
         pause = if seq > before {
             FIRST_PAUSE
         } else {
@@ -107,7 +100,7 @@
 }
 
 /// One connection to the change log, until it ends.
-async fn listen(address: SocketAddr, seq: &mut u64, broker: &BrokerBox) -> io::Result<()> {
+async fn listen(address: SocketAddr, seq: &mut u64, desk: &Desk) -> io::Result<()> {
     let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no word for too long");
     let mut stream = timeout(CONNECT, TcpStream::connect(address))
         .await
@@ -136,10 +129,7 @@
         } else {
             Listing::Changes
         };
-        let told = broker
-            .send(ToBroker::List(listing, change.fleet.targets))
-            .await;
-        if told.is_err() {
+        if desk.list(listing, change.fleet.targets).await.is_err() {
             return Ok(());
         }
         // Only now: what is dropped while it waits for the broker has not been told.
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -2,14 +2,14 @@
 
 use crate::admin;
 use crate::config::Config;
+use crate::crew::Crew;
 use crate::reload::{self, Source};
 use crate::roster;
-use sedgebeam_broker as broker;
+use futures::StreamExt;
 use sedgebeam_engines::Wires;
 use sedgebeam_fronts::places::Places;
 use sedgebeam_fronts::{Shared, flight, incoming, pg};
-use sedgebeam_port::clock::Clock;
-use sedgebeam_port::{Listing, SessionKey, ToBroker, supervise};
+use sedgebeam_port::{Listing, SessionKey, supervise};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,26 +55,21 @@
         mut terminate,
         mut interrupt,
     } = signals;
-    let (broker, mailbox, incoming) = broker::new(broker::Setup {
-        settings: config.settings.clone(),
-        names: config.names.clone(),
-        most_open: config.connections.max_open,
-        seed: config.seed,
-        clock: Clock::start(),
-        world: Arc::new(Wires {
-            connections: config.connections,
-        }),
-    });
-    supervise::vital("the broker", broker.run(incoming));
-    let saved = ToBroker::List(Listing::Saved, roster::fold(config.known.changes.clone()));
-    mailbox.send(saved).await.map_err(io::Error::other)?;
+    let world = Wires {
+        connections: config.connections,
+    };
+    let crew = Arc::new(Crew::start(&config, Arc::new(world)).await?);
+    let desk = crew.desk.clone();
+    let saved = roster::fold(config.known.changes.clone());
+    let told = desk.list(Listing::Saved, saved).await;
+    told.map_err(|_| io::Error::other("the broker ended at once"))?;
     let (changelog, address) = watch::channel(config.changelog);
-    let follow = roster::follow(address, config.known.seq, mailbox.clone());
+    let follow = roster::follow(address, config.known.seq, desk.clone());
     supervise::vital("the change log", follow);
     let reloading = reload::at_hangup(hangup, source, changelog);
     supervise::vital("reloading", reloading);
     let shared = Shared {
-        broker: mailbox,
+        desk,
         names: Arc::new(config.names.clone()),
     };
     let (end, ending) = watch::channel(false);
@@ -87,13 +82,8 @@
             config.name,
             listener.local_addr()?
         );
-        let serving = serve_flight(listener, shared.clone(), config.seed, end.subscribe());
-        let alive = alive.clone();
-        supervise::vital("the Flight SQL front", async move {
-            let served = serving.await;
-            drop(alive);
-            served
-        });
+        let front = flight::Front::new(shared.clone(), config.seed);
+        serve_flight(listener, &crew, &front, &end, &alive);
     }
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await?;
@@ -102,7 +92,7 @@
             config.name,
             listener.local_addr()?
         );
-        let serving = admin::serve(listener, shared.broker.clone(), end.subscribe());
+        let serving = admin::serve(listener, shared.desk.clone(), end.subscribe());
         supervise::vital("the administration", serving);
     }
     let listener = TcpListener::bind(config.listen).await?;
@@ -112,6 +102,7 @@
         listener.local_addr()?
     );
     let sessions = Sessions {
+        crew,
         shared,
         ending,
         alive,
@@ -134,18 +125,71 @@
     Ok(())
 }
 
-/// Serves Flight SQL clients until the end, and then what they have under way.
-async fn serve_flight(
+/// Serves Flight SQL clients until the end, and then what they have under way: on the program's own thread,
+/// or on the workers, to which connections are handed over.
+fn serve_flight(
     listener: TcpListener,
-    shared: Shared,
-    seed: u64,
+    crew: &Arc<Crew>,
+    front: &flight::Front,
+    end: &watch::Sender<bool>,
+    alive: &mpsc::Sender<()>,
+) {
+    let accepted = incoming::accepted(listener, FLIGHT_CONNECTIONS);
+    if !crew.is_several() {
+        let alive = alive.clone();
+        let serving = flight_server(incoming::placed(accepted), front.clone(), end.subscribe());
+        supervise::vital("the Flight SQL front", async move {
+            serving.await;
+            drop(alive);
+        });
+        return;
+    }
+    let mut workers = Vec::new();
+    for worker in crew.workers() {
+        let (hand_over, taken) = mpsc::channel(FLIGHT_CONNECTIONS);
+        let taken = incoming::taken_over(taken);
+        let (serving, alive) = (
+            flight_server(taken, front.clone(), end.subscribe()),
+            alive.clone(),
+        );
+        worker.watch("the Flight SQL front of a worker", async move {
+            serving.await;
+            drop(alive);
+        });
+        workers.push(hand_over);
+    }
+    let (crew, mut end) = (crew.clone(), end.subscribe());
+    supervise::vital("accepting Flight SQL clients", async move {
+        let mut accepted = std::pin::pin!(accepted);
+        loop {
+            let next = tokio::select! {
+                next = accepted.next() => next,
+                _ = end.wait_for(|end| *end) => None,
+            };
+            let Some(connection) = next else { return };
+            let (place, _) = crew.place();
+            let handed = match incoming::HandedOver::new(connection) {
+                Ok(handed) => workers[place].try_send(handed).map_err(io::Error::other),
+                Err(error) => Err(error),
+            };
+            if let Err(error) = handed {
+                log::warn!("a Flight SQL client is not handed over: {error}");
+            }
+        }
+    });
+}
+
+/// Serves these connections until the end.
+async fn flight_server(
+    connections: impl futures::Stream<Item = io::Result<incoming::Placed>> + Send + 'static,
+    front: flight::Front,
     mut end: watch::Receiver<bool>,
 ) {
     let served = tonic::transport::Server::builder()
         .concurrency_limit_per_connection(FLIGHT_CALLS)
         .http2_keepalive_interval(Some(FLIGHT_ALIVE))
-        .add_service(flight::service(shared, seed))
-        .serve_with_incoming_shutdown(incoming::places(listener, FLIGHT_CONNECTIONS), async move {
+        .add_service(front.service())
+        .serve_with_incoming_shutdown(connections, async move {
             // A sender that is gone has ended too.
             let _ = end.wait_for(|end| *end).await;
         });
@@ -155,6 +199,7 @@
 }
 
 struct Sessions {
+    crew: Arc<Crew>,
     shared: Shared,
     ending: watch::Receiver<bool>,
     alive: mpsc::Sender<()>,
@@ -196,19 +241,27 @@
             return;
         }
         self.next = self.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let session = pg::serve(
-            stream,
-            self.shared.clone(),
-            SessionKey(self.next),
-            self.ending.clone(),
-            place,
-            self.message,
-        );
+        let (shared, key) = (self.shared.clone(), SessionKey(self.next));
+        let (ending, message) = (self.ending.clone(), self.message);
         let alive = self.alive.clone();
+        if !self.crew.is_several() {
+            let task = async move {
+                pg::serve(stream, shared, key, ending, place, message).await;
+                drop(alive);
+            };
+            supervise::watch("a session".to_string(), task, || {});
+            return;
+        }
+        // It is served where it is read: its sockets' events must come on its worker's thread.
+        let (_, worker) = self.crew.place();
+        let counted = worker.count();
         let task = async move {
-            session.await;
-            drop(alive);
+            match stream.into_std().and_then(TcpStream::from_std) {
+                Ok(stream) => pg::serve(stream, shared, key, ending, place, message).await,
+                Err(error) => log::warn!("a session is not handed over: {error}"),
+            }
+            drop((alive, counted));
         };
-        supervise::watch("a session".to_string(), task, || {});
+        worker.watch("a session", task);
     }
 }
--- a/fronts/src/flight.rs
+++ b/fronts/src/flight.rs
@@ -21,7 +21,7 @@
 use futures::stream::{self, Stream, TryStreamExt};
 use prost::Message;
 use sedgebeam_arrow as arrow;
-use sedgebeam_port::{Answer, Broken, Delivery, Failure, NewRequest, submit, supervise};
+use sedgebeam_port::{Answer, Broken, Delivery, Failure, NewRequest, supervise};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -72,17 +72,23 @@
     tickets: Arc<Mutex<Tickets>>,
 }
 
-/// The service for a listener.
-pub fn service(shared: Shared, seed: u64) -> FlightServiceServer<Front> {
-    let tickets = Tickets {
-        next: seed,
-        ..Tickets::default()
-    };
-    let front = Front {
-        shared,
-        tickets: Arc::new(Mutex::new(tickets)),
-    };
-    FlightServiceServer::new(front).max_decoding_message_size(MOST_MESSAGE)
+impl Front {
+    /// One front, of which each worker serves a clone: a ticket is good at all of them.
+    pub fn new(shared: Shared, seed: u64) -> Front {
+        let tickets = Tickets {
+            next: seed,
+            ..Tickets::default()
+        };
+        Front {
+            shared,
+            tickets: Arc::new(Mutex::new(tickets)),
+        }
+    }
+
+    /// The service for connections.
+    pub fn service(&self) -> FlightServiceServer<Front> {
+        FlightServiceServer::new(self.clone()).max_decoding_message_size(MOST_MESSAGE)
+    }
 }
 
 fn invalid(why: impl Into<String>) -> Status {
@@ -215,7 +221,7 @@
         request: NewRequest,
         token: &CancellationToken,
     ) -> Result<Delivery, Status> {
-        let pending = submit(&self.shared.broker, request).await;
+        let pending = self.shared.desk.submit(request).await;
         let answer = tokio::select! {
             answer = pending => answer,
             () = token.cancelled() => return Err(failed(Failure::Cancelled)),
--- a/fronts/src/incoming.rs
+++ b/fronts/src/incoming.rs
@@ -1,6 +1,7 @@
 //! Connections of Flight SQL clients: so many at once, and each gives its place back when it is dropped.
 //! One that says nothing, or stops in its preface, is closed: it would keep its place from others for good.
 
+use futures::stream::{Stream, StreamExt};
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{Sleep, sleep};
 use tonic::transport::server::Connected;
 
@@ -27,26 +28,30 @@
     _place: OwnedSemaphorePermit,
 }
 
+impl Placed {
+    fn new(stream: TcpStream, place: OwnedSemaphorePermit) -> io::Result<Placed> {
+        stream.set_nodelay(true)?;
+        Ok(Placed {
+            stream,
+            missing: PREFACE,
+            limit: Box::pin(sleep(PREFACE_LIMIT)),
+            _place: place,
+        })
+    }
+}
+
+/// A connection with its place, not yet served by any worker.
+pub type Accepted = (TcpStream, OwnedSemaphorePermit);
+
 /// The connections of a listener, no more than `most` at once; others wait to be accepted.
-pub fn places(
-    listener: TcpListener,
-    most: usize,
-) -> impl futures::Stream<Item = io::Result<Placed>> {
+pub fn accepted(listener: TcpListener, most: usize) -> impl Stream<Item = Accepted> {
     let places = Arc::new(Semaphore::new(most));
     futures::stream::unfold((listener, places), |(listener, places)| async move {
         // The semaphore is never closed.
         let place = places.clone().acquire_owned().await.ok()?;
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    let placed = stream.set_nodelay(true).map(|()| Placed {
-                        stream,
-                        missing: PREFACE,
-                        limit: Box::pin(sleep(PREFACE_LIMIT)),
-                        _place: place,
-                    });
-                    return Some((placed, (listener, places)));
-                }
+                Ok((stream, _)) => return Some(((stream, place), (listener, places))),
                 Err(error) => {
                     log::warn!("accepting Flight SQL clients: {error}");
                     sleep(PAUSE).await;
@@ -56,6 +61,33 @@
     })
 }
 
+/// Connections that this worker has accepted itself.
+pub fn placed(accepted: impl Stream<Item = Accepted>) -> impl Stream<Item = io::Result<Placed>> {
+    accepted.map(|(stream, place)| Placed::new(stream, place))
+}
+
+/// A connection on its way from the worker that accepted it to the one that serves it.
+pub struct HandedOver {
+    stream: std::net::TcpStream,
+    place: OwnedSemaphorePermit,
+}
+
+impl HandedOver {
+    pub fn new((stream, place): Accepted) -> io::Result<HandedOver> {
+        let stream = stream.into_std()?;
+        Ok(HandedOver { stream, place })
+    }
+}
+
+/// Connections that another worker has accepted, until it accepts no more.
+pub fn taken_over(incoming: mpsc::Receiver<HandedOver>) -> impl Stream<Item = io::Result<Placed>> {
+    futures::stream::unfold(incoming, |mut incoming| async move {
+        let HandedOver { stream, place } = incoming.recv().await?;
+        let placed = TcpStream::from_std(stream).and_then(|stream| Placed::new(stream, place));
+        Some((placed, incoming))
+    })
+}
+
 impl Connected for Placed {
     type ConnectInfo = ();
     fn connect_info(&self) {}
--- a/fronts/src/lib.rs
+++ b/fronts/src/lib.rs
@@ -6,14 +6,14 @@
 pub mod places;
 pub mod statement;
 
-use sedgebeam_port::{BrokerBox, Failure};
+use sedgebeam_port::{Desk, Failure};
 use sedgebeam_settings::Names;
 use std::sync::Arc;
 
 /// What every front needs.
 #[derive(Clone)]
 pub struct Shared {
-    pub broker: BrokerBox,
+    pub desk: Desk,
     pub names: Arc<Names>,
 }
 
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use codec::{Error, Pg, Said, Say};
 use futures::{SinkExt, StreamExt};
-use sedgebeam_port::{Answer, Broken, Delivery, Failure, Pending, SessionKey, ToBroker, submit};
+use sedgebeam_port::{Answer, Broken, Delivery, Failure, Pending, SessionKey};
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -118,9 +118,7 @@
                     return Ok(true);
                 }
                 Said::Cancel(key) => {
-                    let cancel = ToBroker::Cancel(SessionKey(key));
-                    // A broker that is gone has nothing to cancel.
-                    let _ = self.shared.broker.send(cancel).await;
+                    self.shared.desk.cancel(SessionKey(key)).await;
                     return Ok(false);
                 }
                 _ => return Ok(false),
@@ -201,7 +199,7 @@
                 if !self.place.stand(Standing::Busy) {
                     return Ok(false);
                 }
-                let pending = submit(&self.shared.broker, request).await;
+                let pending = self.shared.desk.submit(request).await;
                 match self.wait(pending).await? {
                     Some(answer) => answer,
                     None => return Ok(false),
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod counts;
 mod engines;
+pub mod placement;
 
 use counts::Counts;
 use engines::EngineBook;
--- a/port/src/answer.rs
+++ b/port/src/answer.rs
@@ -122,7 +122,9 @@
 pub struct Pending {
     request: RequestId,
     answer: oneshot::Receiver<Answer>,
-    broker: BrokerBox,
+    broker: Option<BrokerBox>,
+    /// What the answer is where the broker dies with the request.
+    lost: Option<Answer>,
     answered: bool,
 }
 
@@ -130,12 +132,14 @@
     pub fn new(
         request: RequestId,
         answer: oneshot::Receiver<Answer>,
-        broker: BrokerBox,
+        broker: Option<BrokerBox>,
+        lost: Answer,
     ) -> Pending {
         Pending {
             request,
             answer,
             broker,
+            lost: Some(lost),
             answered: false,
         }
     }
@@ -149,19 +153,20 @@
         answer.map(|answer| {
             self.answered = true;
             // A sender dropped without an answer: the broker has ended.
-            answer.unwrap_or(Answer::Failed(Failure::Ending))
+            let lost = self.lost.take();
+            answer.unwrap_or_else(|_| lost.unwrap_or(Answer::Failed(Failure::Ending)))
         })
     }
 }
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        if self.answered {
+        let Some(broker) = self.broker.take().filter(|_| !self.answered) else {
             return;
-        }
+        };
         // The client has left; its session may be gone, so the word must not depend on it.
-        if let Err(full) = self.broker.try_send(ToBroker::ClientLeft(self.request)) {
-            let (broker, word) = (self.broker.clone(), full.into_inner());
+        if let Err(full) = broker.try_send(ToBroker::ClientLeft(self.request)) {
+            let word = full.into_inner();
             if let Ok(runtime) = tokio::runtime::Handle::try_current() {
                 runtime.spawn(async move { broker.send(word).await });
             }
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -5,13 +5,16 @@
 mod administration;
 mod answer;
 pub mod clock;
+mod desk;
 mod engine;
 mod request;
 mod roster;
+mod standing;
 pub mod supervise;
 
-pub use administration::{Asked, Denied};
+pub use administration::{Answers, Asked, Counters, Denied, EngineRow, Health, TenantRow, Told};
 pub use answer::{Answer, Broken, Delivery, Failure, Pending};
+pub use desk::{BEAT, Closed, Desk, Losses};
 pub use engine::{Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine};
-pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker, submit};
+pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker};
 pub use roster::{Listing, Target};
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests on their way to the broker, and all else that it is told.
 
-use crate::{Answer, Asked, Denied, Listing, Pending, Report, Target};
+use crate::{Answer, Asked, Denied, Listing, Report, Target, Told};
 use bytes::Bytes;
 use sedgebeam_core::{ClassId, EngineId, GroupId, Micros, RequestId};
 use tokio::sync::{mpsc, oneshot};
@@ -36,14 +36,5 @@
     Engine(EngineId, Report),
     EngineDied(EngineId),
     List(Listing, Vec<Target>),
-    Admin(Asked, oneshot::Sender<Result<String, Denied>>),
-}
-
-/// Hands a request over; the answer is waited for on what this returns.
-pub async fn submit(broker: &BrokerBox, request: NewRequest) -> Pending {
-    let (reply, answer) = oneshot::channel();
-    let pending = Pending::new(request.id, answer, broker.clone());
-    // Where the broker is gone, the reply goes with the message and the answer says so.
-    let _ = broker.send(ToBroker::Submit(request, reply)).await;
-    pending
+    Admin(Asked, oneshot::Sender<Result<Told, Denied>>),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,4 +29,4 @@
 
 pub use interface::*;
 pub use parts::{ClassOut, EngineShare, Out, Published, Room, Siblings, Wish};
-pub use policy::Gateway;
+pub use policy::{CREDIT_CAP, Gateway};
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -90,6 +90,8 @@
 /// What the gateway keeps of its siblings.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Elsewhere {
+    /// It has siblings: an engine of which they have told nothing yet has no room.
+    pub parted: bool,
     pub classes: Vec<ClassOut>,
     pub room: Room,
     class_credit: Vec<f64>,
@@ -144,6 +146,16 @@
         self.budget(engine) * OWN_EXCESS
     }
 
+    /// Threads that may be sent to the engine now.
+    pub(crate) fn room(&self, engine: &EngineView) -> f64 {
+        let unheard = self.elsewhere.parted && !engine.told_of;
+        if unheard {
+            0.0
+        } else {
+            engine.elsewhere.room.0
+        }
+    }
+
     /// Whether the engine has started so lately that it is not warm yet.
     pub(crate) fn is_cold(&self, engine: &EngineView, now: Micros) -> bool {
         let started = engine.entry.started_at;
@@ -155,6 +167,7 @@
         for share in siblings.engines {
             if let Some(engine) = self.engines.get_mut(&share.engine) {
                 engine.elsewhere = share;
+                engine.told_of = true;
             }
         }
         self.queues.elsewhere = siblings.waiting;
@@ -164,6 +177,7 @@
             overwrite(&mut credit.credit, told);
         }
         self.elsewhere = Elsewhere {
+            parted: true,
             classes: siblings.classes,
             room: siblings.room,
             class_credit: self.class_credit.credit.clone(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
 // ---- 1. Constants ----
 
 /// Most credit or debt, in releases: an idle spell or a run of yielded turns is soon forgotten.
-const CREDIT_CAP: f64 = 4.0;
+pub const CREDIT_CAP: f64 = 4.0;
 /// A draw that holds less than this part of the heaviest waiting one's thread time is light.
 const LIGHT_DRAW: f64 = 0.25;
 /// Threads out a core, over all gateways, that an engine under pressure gets (DESIGN).
@@ -312,7 +312,7 @@
         let limit = self.budget(engine) * if pressed { 1.0 } else { OWN_EXCESS };
         let memory_mb = engine.all_memory() + self.need(request);
         let room = memory_mb * self.gateways() <= engine.memory_mb;
-        if request.threads > engine.elsewhere.room.0 {
+        if request.threads > self.room(engine) {
             return false;
         }
         if self.small_part {
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,7 +124,8 @@
     pub sends: VecDeque<(Micros, f64)>,
     /// Work sent that the siblings of this part have not been told of.
     pub unpublished: f64,
-    /// What the siblings hold here.
+    /// Whether siblings have told of it, and what they hold here.
+    pub told_of: bool,
     pub elsewhere: EngineShare,
 }
 
