Play the scenarios of both fronts with several workers too

Cause: workers had no test through the program. Change: everywhere() plays each scenario with one worker and with three.

--- a/dispatcher/tests/scenarios/fronts.rs
+++ b/dispatcher/tests/scenarios/fronts.rs
@@ -2,10 +2,13 @@
 
 use crate::stage::Stage;
 
-/// Plays a scenario once for every front before every kind of engine: `C` is the client, `E` the engine.
+/// Plays a scenario once for every front before every kind of engine, with one worker and with several: `C`
+/// is the client, `E` the engine.
 fn everywhere(scenario: &str) {
-    for (client, engine) in [("c1", "e1"), ("c1", "g1"), ("f1", "e1"), ("f1", "g1")] {
-        println!("{client} before {engine}");
+    let peers = [("c1", "e1"), ("c1", "g1"), ("f1", "e1"), ("f1", "g1")];
+    let all = [1, 3].map(|workers| peers.map(|(client, engine)| (workers, client, engine)));
+    for (workers, client, engine) in all.concat() {
+        println!("{client} before {engine}, {workers} workers");
         let lines = scenario
             .lines()
             .map(str::trim)
@@ -14,7 +17,7 @@
                 ("E", rest) => format!("{engine}{rest}\n"),
                 _ => panic!("neither client nor engine: {line}"),
             });
-        let mut stage = Stage::new(&[engine]);
+        let mut stage = Stage::with_workers(&[engine], workers);
         stage.play(&lines.collect::<String>());
         let more = stage.left(engine);
         let again = more.iter().any(|heard| heard.starts_with("fetch"));
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -85,6 +85,11 @@
 impl Stage {
     /// Starts the program before these engines; `changelog` plays the change log too.
     pub fn new(engines: &[&str]) -> Stage {
+        Stage::with_workers(engines, 1)
+    }
+
+    /// The same with the program on so many workers.
+    pub fn with_workers(engines: &[&str], workers: usize) -> Stage {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -133,7 +138,9 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":64}},
                "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}"#
         );
-        let own = r#"{"flight": {"listen": "127.0.0.1:0"}, "admin": {"listen": "127.0.0.1:0"}}"#;
+        let own = format!(
+            r#"{{"flight": {{"listen": "127.0.0.1:0"}}, "admin": {{"listen": "127.0.0.1:0"}}, "workers": {workers}}}"#
+        );
         write_config(&folder, &config, changelog.as_deref());
         std::fs::write(folder.join("own.json"), own).expect("writes");
         let _inside = runtime.enter();
