--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -227,14 +227,7 @@
         let Some(part) = self.part.clone() else {
             return (self.gateway.handle(at, events), true);
         };
-        let classes = &self.settings.classes;
-        let arriving = events.iter().map(|event| match event {
-            Event::Request(query) => classes
-                .get(query.class.0)
-                .map_or(1.0, |c| c.threads.max(1.0)),
-            _ => 0.0,
-        });
-        let wish = self.gateway.wish(at, arriving.sum());
+        let wish = self.gateway.wish(at, &events);
         let loan = part.borrow(at, &wish, self.open.len());
         self.most_open = loan.open;
         self.gateway.hear(loan.siblings);
--- a/dispatcher/src/crew.rs
+++ b/dispatcher/src/crew.rs
@@ -80,7 +80,7 @@
             repeatable: config.settings.classes.iter().map(repeatable).collect(),
             retry_after: duration(config.settings.max_retry_after),
         };
-        let desk = Desk::new(config.workers, losses);
+        let desk = Desk::new(config.workers, config.seed, losses);
         let setup = Setup {
             settings: config.settings.clone(),
             names: config.names.clone(),
--- /dev/null
+++ b/lab/src/cores.rs
@@ -0,0 +1,328 @@
+//! The experiment on several cores: for each number of workers the highest throughput held, latency at half
+//! of it, processor time for a request, and how far shares under overload are from what is owed.
+
+use crate::engine::{self, Seen};
+use crate::load::{self, Play};
+use crate::plan::{CLASSES, Traffic};
+use crate::program::{Program, Setting};
+use crate::search::Search;
+use clap::Args;
+use serde::Serialize;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+
+/// Firms and their shares.
+const FIRMS: [(&str, f64); 3] = [
+    ("fraser-cpa", 0.62),
+    ("island-ledger", 0.26),
+    ("kootenay-books", 0.12),
+];
+/// Part of the requests that must be served for a rate to be held.
+const SERVED: f64 = 0.99;
+/// The last part of a search: it is known to within 1/64 of the step that missed.
+const STEPS: u32 = 4;
+
+#[derive(Args)]
+pub struct Cores {
+    /// Numbers of workers, in the order in which they are measured.
+    #[arg(long, value_delimiter = ',', default_value = "1,2,4,8")]
+    workers: Vec<usize>,
+    /// The program.
+    #[arg(long, default_value = "target/release/sedgebeam")]
+    program: PathBuf,
+    /// Where the figures are written.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// The bound on the 99th percentile, in milliseconds.
+    #[arg(long, default_value_t = 50.0)]
+    p99: f64,
+    /// The first rate that is tried, in requests a second.
+    #[arg(long, default_value_t = 2000.0)]
+    rate: f64,
+    /// The length of each run, in seconds; half a second of it does not count.
+    #[arg(long, default_value_t = 3.0)]
+    seconds: f64,
+    /// Threads of the load and the stand-in engines.
+    #[arg(long, default_value_t = 4)]
+    load_threads: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Pins each worker to a core.
+    #[arg(long)]
+    pin: bool,
+    /// Leaves out the runs under overload.
+    #[arg(long)]
+    no_shares: bool,
+}
+
+#[derive(Serialize)]
+struct Report {
+    machine_cores: usize,
+    load_threads: usize,
+    p99_bound_ms: f64,
+    seed: u64,
+    rows: Vec<Row>,
+}
+
+#[derive(Serialize)]
+struct Row {
+    workers: usize,
+    /// Highest rate held, in requests a second.
+    held_per_s: f64,
+    /// Processor time for a request at that rate, in microseconds.
+    cpu_us: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+    p999_ms: f64,
+    shares: Option<Shares>,
+    doubled_loads: usize,
+}
+
+/// What was served under overload.
+#[derive(Serialize)]
+struct Shares {
+    asked_per_s: f64,
+    served_per_s: f64,
+    refused: u64,
+    failed: u64,
+    /// By class, the part of all that was served.
+    by_class: Vec<f64>,
+    /// By class and firm, the part of what was served of the class.
+    by_firm: Vec<Vec<f64>>,
+    /// The farthest that a firm's part of all served thread time is from its share, in points.
+    firm_error_points: f64,
+    /// The same by class, the farthest of any class.
+    worst_class_error_points: f64,
+}
+
+struct World {
+    runtime: Runtime,
+    engines: Vec<SocketAddr>,
+    seen: Arc<Seen>,
+}
+
+impl World {
+    fn new(threads: usize, engines: usize) -> io::Result<World> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads)
+            .enable_all()
+            .build()?;
+        let seen = Arc::new(Seen::default());
+        let mut addresses = Vec::new();
+        for _ in 0..engines {
+            let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0"))?;
+            addresses.push(listener.local_addr()?);
+            runtime.spawn(engine::serve(listener, seen.clone()));
+        }
+        Ok(World {
+            runtime,
+            engines: addresses,
+            seen,
+        })
+    }
+}
+
+/// A run and the processor time that the program used for it.
+struct Run {
+    result: load::Result,
+    cpu: Duration,
+    rate: f64,
+}
+
+impl Run {
+    fn holds(&self, p99_ms: f64) -> bool {
+        let served = self.result.all_served() as f64 >= SERVED * self.result.due as f64;
+        served && self.result.percentile(99.0) <= p99_ms
+    }
+}
+
+impl Cores {
+    pub fn run(&self) -> io::Result<()> {
+        let machine_cores = std::thread::available_parallelism()?.get();
+        println!(
+            "{machine_cores} cores; {} threads of load and engines",
+            self.load_threads
+        );
+        println!(
+            "workers     held/s   cpu us     p50     p99   p99.9  firms off  class off  doubled loads"
+        );
+        let mut rows = Vec::new();
+        for workers in &self.workers {
+            let row = self.row(*workers)?;
+            let off = |pick: fn(&Shares) -> f64| match &row.shares {
+                Some(shares) => format!("{:.1}", pick(shares)),
+                None => "-".to_string(),
+            };
+            println!(
+                "{workers:7} {:10.0} {:8.1} {:7.1} {:7.1} {:7.1} {:>10} {:>10} {:14}",
+                row.held_per_s,
+                row.cpu_us,
+                row.p50_ms,
+                row.p99_ms,
+                row.p999_ms,
+                off(|shares| shares.firm_error_points),
+                off(|shares| shares.worst_class_error_points),
+                row.doubled_loads,
+            );
+            rows.push(row);
+        }
+        let report = Report {
+            machine_cores,
+            load_threads: self.load_threads,
+            p99_bound_ms: self.p99,
+            seed: self.seed,
+            rows,
+        };
+        if let Some(path) = &self.json {
+            std::fs::write(path, serde_json::to_string_pretty(&report)?)?;
+        }
+        Ok(())
+    }
+
+    fn row(&self, workers: usize) -> io::Result<Row> {
+        let world = World::new(self.load_threads, 8)?;
+        let mut search = Search::new(self.rate, STEPS);
+        let mut best: Option<Run> = None;
+        while let Some(rate) = search.next() {
+            let run = self.play(&world, workers, rate, 64, &self.light(rate))?;
+            let held = run.holds(self.p99);
+            eprintln!(
+                "  {workers} workers at {rate:.0}/s: p99 {:.1} ms, {} of {} served{}",
+                run.result.percentile(99.0),
+                run.result.all_served(),
+                run.result.due,
+                if held { "" } else { ": not held" }
+            );
+            if held {
+                best = Some(run);
+            }
+            search.tell(held);
+        }
+        let best = best.ok_or_else(|| io::Error::other("not even the first rate is held"))?;
+        let half = search.held() / 2.0;
+        let half = self.play(&world, workers, half, 64, &self.light(half))?;
+        let shares = if self.no_shares {
+            None
+        } else {
+            Some(self.shares(workers)?)
+        };
+        Ok(Row {
+            workers,
+            held_per_s: best.rate,
+            cpu_us: best.cpu.as_secs_f64() * 1e6 / (best.rate * self.seconds),
+            p50_ms: half.result.percentile(50.0),
+            p99_ms: half.result.percentile(99.0),
+            p999_ms: half.result.percentile(99.9),
+            shares,
+            doubled_loads: world.seen.doubled(),
+        })
+    }
+
+    /// Traffic that engines bear easily: the program is what gives in.
+    fn light(&self, rate: f64) -> Traffic {
+        Traffic {
+            seed: self.seed,
+            rate,
+            length: Duration::from_secs_f64(self.seconds),
+            firms: FIRMS.map(|(_, share)| share).to_vec(),
+            groups: 40,
+            service: [2, 4, 4].map(Duration::from_millis),
+        }
+    }
+
+    fn play(
+        &self,
+        world: &World,
+        workers: usize,
+        rate: f64,
+        engine_cores: u32,
+        traffic: &Traffic,
+    ) -> io::Result<Run> {
+        let setting = Setting {
+            workers,
+            pin: self.pin,
+            engines: world.engines.clone(),
+            engine_cores,
+            firms: FIRMS
+                .map(|(name, share)| (name.to_string(), share))
+                .to_vec(),
+        };
+        world.runtime.block_on(async {
+            let program = Program::start(&self.program, &setting).await?;
+            let before = program.cpu()?;
+            let play = Play {
+                address: program.address,
+                firms: FIRMS.map(|(name, _)| name.to_string()).to_vec(),
+                sessions: 160,
+                warm_up: Duration::from_millis(500),
+                limit: Duration::from_secs(4),
+            };
+            let result = load::play(traffic.jobs(), play).await?;
+            let cpu = program.cpu()? - before;
+            program.stop().await?;
+            Ok(Run { result, cpu, rate })
+        })
+    }
+
+    /// Three times what the engines' slots allow, from three firms alike: what each gets is its share.
+    fn shares(&self, workers: usize) -> io::Result<Shares> {
+        let world = World::new(self.load_threads, 4)?;
+        let seconds = 12.0;
+        let rate = 7000.0;
+        let traffic = Traffic {
+            seed: self.seed + 1,
+            rate,
+            length: Duration::from_secs_f64(seconds),
+            firms: vec![1.0 / 3.0; 3],
+            groups: 40,
+            service: [20, 60, 60].map(Duration::from_millis),
+        };
+        let run = self.play(&world, workers, rate, 8, &traffic)?;
+        let served = &run.result.served;
+        let all = run.result.all_served().max(1) as f64;
+        let part = |counts: &[u64]| {
+            let sum = counts.iter().sum::<u64>().max(1) as f64;
+            counts
+                .iter()
+                .map(|count| *count as f64 / sum)
+                .collect::<Vec<f64>>()
+        };
+        let by_firm: Vec<Vec<f64>> = served.iter().map(|class| part(class)).collect();
+        let off = |parts: &[f64]| {
+            let off = parts
+                .iter()
+                .zip(FIRMS)
+                .map(|(part, (_, share))| (part - share).abs());
+            100.0 * off.fold(0.0, f64::max)
+        };
+        // What a firm holds is thread time, not numbers: a report is worth many lookups.
+        let time = |firm: usize| {
+            let classes = served.iter().zip(CLASSES).zip(traffic.service);
+            let held = classes.map(|((counts, (_, _, threads)), service)| {
+                counts[firm] as f64 * f64::from(threads) * service.as_secs_f64()
+            });
+            held.sum::<f64>()
+        };
+        let times: Vec<f64> = (0..FIRMS.len()).map(time).collect();
+        let sum: f64 = times.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        let parts: Vec<f64> = times.iter().map(|time| time / sum).collect();
+        Ok(Shares {
+            asked_per_s: rate,
+            served_per_s: all / (seconds - 0.5),
+            refused: run.result.refused,
+            failed: run.result.failed,
+            by_class: served
+                .iter()
+                .map(|class| class.iter().sum::<u64>() as f64 / all)
+                .collect(),
+            firm_error_points: off(&parts),
+            worst_class_error_points: by_firm.iter().map(|firm| off(firm)).fold(0.0, f64::max),
+            by_firm,
+        })
+    }
+}
--- a/leases/src/engines.rs
+++ b/leases/src/engines.rs
@@ -1,6 +1,6 @@
 //! What all shards hold on one engine.
 
-use sedgebeam_core::{Micros, Out};
+use sedgebeam_core::{EngineWish, Micros, Out};
 use std::collections::VecDeque;
 
 /// What one shard holds there.
@@ -49,13 +49,14 @@
     pub fn lend(
         &mut self,
         shard: usize,
-        limit: f64,
-        cold: bool,
+        wished: &EngineWish,
         part: f64,
         most: f64,
         heaviest: f64,
     ) -> f64 {
-        let held = self.threads() + self.lent();
+        let own = self.holding(shard).out.threads;
+        let held = self.threads() + self.lent() - wished.ended.min(own);
+        let (limit, cold) = (wished.limit, wished.cold);
         let busy = self.others(shard).any(|holding| holding.lent > 0.0);
         let free = if held == 0.0 {
             limit.max(heaviest)
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -141,11 +141,11 @@
             0.0
         };
         let most = wants.max(wish.heaviest);
-        let engines = wish.engines.iter().map(|(id, limit, cold)| {
-            let book = self.engines.entry(*id).or_default();
-            let room = book.lend(own, *limit, *cold, part, most, wish.heaviest);
+        let engines = wish.engines.iter().map(|wished| {
+            let book = self.engines.entry(wished.engine).or_default();
+            let room = book.lend(own, wished, part, most, wish.heaviest);
             EngineShare {
-                engine: *id,
+                engine: wished.engine,
                 out: book.elsewhere(own),
                 cold_work: book.work_of_others(own, now, self.terms.cold_window),
                 room: Room(room),
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -41,6 +41,8 @@
 struct Shared {
     slots: Vec<Slot>,
     losses: Losses,
+    /// Clients choose their ids: without it one could have all that it asks land on one shard.
+    seed: u64,
     began: Instant,
     /// Held while all brokers are told something, so that they hear all in the same order.
     standing: Mutex<Standing>,
@@ -65,7 +67,7 @@
 
 impl Desk {
     /// A desk before so many brokers, none of which has come yet.
-    pub fn new(shards: usize, losses: Losses) -> Desk {
+    pub fn new(shards: usize, seed: u64, losses: Losses) -> Desk {
         let slot = |_| Slot {
             mailbox: RwLock::new(None),
             beat: AtomicU64::new(0),
@@ -74,6 +76,7 @@
             shared: Arc::new(Shared {
                 slots: (0..shards).map(slot).collect(),
                 losses,
+                seed,
                 began: Instant::now(),
                 standing: Mutex::default(),
             }),
@@ -140,7 +143,7 @@
         if shards == 1 {
             return 0;
         }
-        let draw = |turn: u64| (mix(id.0 ^ mix(turn)) % shards) as usize;
+        let draw = |turn: u64| (mix(id.0 ^ mix(self.shared.seed ^ turn)) % shards) as usize;
         let mut turns = (0..4 * shards).map(draw);
         let lives = |shard: &usize| self.lives(*shard) && self.mailbox(*shard).is_some();
         turns.find(lives).unwrap_or_else(|| draw(0))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,5 +28,5 @@
 mod state;
 
 pub use interface::*;
-pub use parts::{ClassOut, EngineShare, Out, Published, Room, Siblings, Wish};
+pub use parts::{ClassOut, EngineShare, EngineWish, Out, Published, Room, Siblings, Wish};
 pub use policy::{CREDIT_CAP, Gateway};
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -8,6 +8,7 @@
 use crate::interface::*;
 use crate::policy::{Gateway, OWN_EXCESS};
 use crate::state::{EngineView, Queues, Request};
+use std::collections::BTreeMap;
 
 /// What is out on an engine.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -83,8 +84,18 @@
     pub threads: f64,
     /// Threads of the heaviest class: less room than that would be of no use to it.
     pub heaviest: f64,
-    /// The engines, with the threads that one gateway may have out there, and whether they are cold.
-    pub engines: Vec<(EngineId, f64, bool)>,
+    pub engines: Vec<EngineWish>,
+}
+
+/// An engine to which a part might send.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineWish {
+    pub engine: EngineId,
+    /// Threads that one gateway may have out there.
+    pub limit: f64,
+    pub cold: bool,
+    /// Threads of what was out of this part and has ended, of which the part itself is told only now.
+    pub ended: f64,
 }
 
 /// What the gateway keeps of its siblings.
@@ -124,15 +135,36 @@
 }
 
 impl Gateway {
-    /// What this part would like to send, with `arriving` threads of requests that it is about to be told.
-    pub fn wish(&self, now: Micros, arriving: f64) -> Wish {
+    /// What this part would like to send, once it is told of these events.
+    pub fn wish(&self, now: Micros, events: &[Event]) -> Wish {
+        let mut arriving = 0.0;
+        let mut ended: BTreeMap<EngineId, f64> = BTreeMap::new();
+        for event in events {
+            match event {
+                Event::Request(query) => {
+                    let class = self.settings.classes.get(query.class.0);
+                    arriving += class.map_or(0.0, |class| class.threads.max(1.0));
+                }
+                Event::Ended(end) => {
+                    let threads = self.requests.get(&end.request).map_or(0.0, |r| r.threads);
+                    *ended.entry(end.engine).or_default() += threads;
+                }
+                _ => {}
+            }
+        }
         let queued = self.requests.values().filter(|request| request.queued);
         let threads = |class: &Class| class.threads.max(1.0);
         let heaviest = self.settings.classes.iter().map(threads);
         let listed = self.engines.values().filter(|engine| engine.listed());
         let engines = listed.map(|engine| {
-            let cold = self.is_cold(engine, now);
-            (engine.entry.id, self.most_threads(engine), cold)
+            let ended = ended.get(&engine.entry.id).copied().unwrap_or(0.0);
+            EngineWish {
+                engine: engine.entry.id,
+                limit: self.most_threads(engine),
+                cold: self.is_cold(engine, now),
+                // No more than what it has out: of what it had called off it knows already.
+                ended: ended.min(engine.threads_out),
+            }
         });
         Wish {
             threads: arriving + queued.map(|request| request.threads).sum::<f64>(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -407,8 +407,8 @@
         Some(())
     }
 
-    /// Refuses at once, newest first, what still waits beyond its class's bound once all ready engines
-    /// have been tried.
+    /// Refuses at once what waits beyond its class's bound once all ready engines have been tried, the newest
+    /// of the tenant farthest beyond its share: else one that floods turns the others away.
     fn refuse_beyond_bound(&mut self) {
         for id in std::mem::take(&mut self.arrived).into_iter().rev() {
             let request = self.requests.get(&id).filter(|request| request.queued);
@@ -416,7 +416,8 @@
             let patience = self.settings.classes[class].on_time.0 as f64 / 1e6;
             let bound = self.release_rate(class) * patience;
             if request.is_some() && self.queues.len(class) as f64 > bound.max(FEW) {
-                self.give_up(id);
+                let over = self.queues.beyond_share(class, &self.tenant_credit[class]);
+                self.give_up(over.unwrap_or(id));
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -298,6 +298,18 @@
         own + self.elsewhere(class).iter().sum::<usize>()
     }
 
+    /// The newest request of the tenant that holds most of the class's queue against its weight.
+    pub fn beyond_share(&self, class: usize, tenants: &Credit) -> Option<RequestId> {
+        let elsewhere = self.elsewhere(class);
+        let lines = self.lines[class].iter().zip(&tenants.weights).enumerate();
+        let own = lines.filter(|(_, (line, _))| !line.is_empty());
+        let held = own.map(|(tenant, (line, weight))| {
+            let all = line.len() + elsewhere.get(tenant).copied().unwrap_or(0);
+            (all as f64 / weight.max(1e-9), line.back().copied())
+        });
+        held.max_by(|a, b| a.0.total_cmp(&b.0))?.1
+    }
+
     pub fn classes_waiting(&self) -> Vec<usize> {
         let classes = 0..self.lines.len();
         classes.filter(|&class| self.len(class) > 0).collect()
