Cause the failures of workers in tests, and grow the table of descriptors before threads start

Cause: a burst of 900 connections at a program of several threads had a tenth tried again a second later: the kernel's table of descriptors grows slowly where threads share it. Change: the table is made as large as it may become while there is one thread; key shards (1: one module behind all workers); scenarios for a worker that dies, one that stands still, drains, cancels, counters and SIGTERM; the laboratory's experiment 'decide'.

--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -51,6 +51,10 @@
     /// Threads that serve, each with a shard of the decision module where there are several.
     pub workers: usize,
     pub pin_workers: bool,
+    /// Shards of the decision module, each with a worker.
+    pub shards: usize,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
 }
 
 /// The change log up to the start.
@@ -114,6 +118,7 @@
     admin: Option<Listener>,
     workers: Option<Value>,
     pin_workers: Option<bool>,
+    shards: Option<u64>,
 }
 
 #[derive(Default, Deserialize)]
@@ -302,7 +307,8 @@
     connections.max_open = connections.max_open.min((memory_mb * OPEN_PER_MB) as usize);
     let to_engine = engine_connections(sockets, roster::fold(known.changes.clone()).len());
     let workers = workers(own.workers.as_ref())?;
-    connections.most = divided(to_engine, workers)?;
+    let shards = shards(own.shards, workers)?;
+    connections.most = divided(to_engine, shards)?;
     let name = environment.name.clone().or(platform.name).or(own.name);
     let seeded = platform.seed.or(own.seed);
     Ok(Config {
@@ -320,6 +326,8 @@
         connections,
         workers,
         pin_workers: own.pin_workers.unwrap_or_default(),
+        shards,
+        sockets,
     })
 }
 
@@ -341,12 +349,24 @@
     }
 }
 
-/// The part of each worker of the connections to an engine.
-fn divided(connections: usize, workers: usize) -> Result<usize, Wrong> {
-    match connections / workers {
+/// The shards of the decision module: one for each worker, unless there are to be fewer.
+fn shards(told: Option<u64>, workers: usize) -> Result<usize, Wrong> {
+    let told = told.map(|told| usize::try_from(told).unwrap_or(usize::MAX));
+    match told.unwrap_or(workers) {
+        shards if (1..=workers).contains(&shards) => Ok(shards),
+        _ => Err(wrong(
+            "shards",
+            format!("it is from 1 to the workers, which are {workers}"),
+        )),
+    }
+}
+
+/// The part of each shard of the connections to an engine.
+fn divided(connections: usize, shards: usize) -> Result<usize, Wrong> {
+    match connections / shards {
         0 => {
             let why = format!(
-                "limits.sockets has room for {connections} connections to each engine: too few for {workers}"
+                "limits.sockets has room for {connections} connections to each engine: too few for {shards} shards"
             );
             Err(wrong("workers", why))
         }
--- a/dispatcher/src/crew.rs
+++ b/dispatcher/src/crew.rs
@@ -68,8 +68,12 @@
 pub struct Crew {
     pub desk: Desk,
     workers: Vec<Worker>,
+    /// The first so many of them have a shard.
+    shards: usize,
     shared: Option<Arc<Shared>>,
     turn: AtomicUsize,
+    /// Brokers that have come after one that had died.
+    restarts: Arc<AtomicUsize>,
 }
 
 impl Crew {
@@ -80,7 +84,7 @@
             repeatable: config.settings.classes.iter().map(repeatable).collect(),
             retry_after: duration(config.settings.max_retry_after),
         };
-        let desk = Desk::new(config.workers, config.seed, losses);
+        let desk = Desk::new(config.shards, config.seed, losses);
         let setup = Setup {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -105,37 +109,44 @@
         Ok(Crew {
             desk,
             workers: vec![Worker::new(Handle::current())],
+            shards: 1,
             shared: None,
             turn: AtomicUsize::new(0),
+            restarts: Arc::default(),
         })
     }
 
     async fn several(config: &Config, desk: Desk, setup: Setup) -> io::Result<Crew> {
         let window = setup.settings.overload_for;
-        let shared = Shared::new(config.workers, setup.most_open, window, desk.clone());
+        let shared = Shared::new(config.shards, setup.most_open, window, desk.clone());
+        widen_descriptors(config.sockets);
         let cores = if config.pin_workers {
             core_affinity::get_core_ids().unwrap_or_default()
         } else {
             Vec::new()
         };
-        let mut workers = Vec::new();
+        let (mut workers, restarts) = (Vec::new(), Arc::<AtomicUsize>::default());
         for shard in 0..config.workers {
             let core = cores.get(shard % cores.len().max(1)).copied();
-            let runtime = thread(shard, core)?;
+            let worker = Worker::new(thread(shard, core)?);
+            workers.push(worker.clone());
+            if shard >= config.shards {
+                continue;
+            }
             let setup = Setup {
                 part: Some(Part::new(shared.clone(), shard)),
                 ..setup.clone()
             };
-            let life = live(shard, setup, desk.clone(), shared.clone());
-            let worker = Worker::new(runtime);
+            let life = live(shard, setup, desk.clone(), shared.clone(), restarts.clone());
             worker.watch("a worker", life);
-            workers.push(worker);
         }
         let crew = Crew {
             desk,
             workers,
+            shards: config.shards,
             shared: Some(shared),
             turn: AtomicUsize::new(0),
+            restarts,
         };
         crew.ready().await;
         Ok(crew)
@@ -143,7 +154,7 @@
 
     /// Waits until every shard has come.
     async fn ready(&self) {
-        while !(0..self.workers.len()).all(|shard| self.desk.lives(shard)) {
+        while !(0..self.shards).all(|shard| self.desk.lives(shard)) {
             sleep(Duration::from_millis(1)).await;
         }
     }
@@ -161,7 +172,7 @@
     pub fn place(&self) -> (usize, &Worker) {
         let load = |(shard, worker): (usize, &Worker)| Load {
             connections: worker.connections.load(Ordering::Relaxed),
-            lives: self.desk.lives(shard),
+            lives: shard >= self.shards || self.desk.lives(shard),
         };
         let loads: Vec<Load> = self.workers.iter().enumerate().map(load).collect();
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
@@ -169,12 +180,32 @@
         (place, &self.workers[place])
     }
 
+    /// Brokers that were started after another had died, and serve.
+    pub fn restarts(&self) -> usize {
+        self.restarts.load(Ordering::Relaxed)
+    }
+
     /// Decisions that were not carried out as they came too late, over all shards.
     pub fn voided(&self) -> u64 {
         self.shared.as_ref().map_or(0, |shared| shared.voided())
     }
 }
 
+/// Has the system make its table of descriptors as large as it may become, while there is one thread: when it
+/// grows in a process of several, whoever needs a descriptor waits for all processors, and a burst of new
+/// connections is not accepted in time (measured: a tenth of 900 at once was tried again by the clients'
+/// systems, a second later).
+fn widen_descriptors(sockets: usize) {
+    let Ok(highest) = i32::try_from(sockets.saturating_sub(1)) else {
+        return;
+    };
+    match rustix::io::fcntl_dupfd_cloexec(std::io::stderr(), highest) {
+        Ok(descriptor) => drop(descriptor),
+        // Fewer may be allowed than the configuration says; they are then had one by one.
+        Err(error) => log::debug!("descriptors up to {highest}: {error}"),
+    }
+}
+
 /// Starts a thread with a runtime, which runs until the program ends.
 fn thread(shard: usize, core: Option<CoreId>) -> io::Result<Handle> {
     let (told, hears) = mpsc::channel();
@@ -199,12 +230,21 @@
 }
 
 /// The life of a shard: its broker, and another one whenever that has died.
-async fn live(shard: usize, setup: Setup, desk: Desk, shared: Arc<Shared>) {
-    loop {
+async fn live(
+    shard: usize,
+    setup: Setup,
+    desk: Desk,
+    shared: Arc<Shared>,
+    restarts: Arc<AtomicUsize>,
+) {
+    for life in 0.. {
         let (broker, mailbox, incoming) = broker::new(setup.clone());
         let running = tokio::spawn(broker.run(incoming));
         // A broker that is gone already is told of below.
         let _ = desk.open(shard, mailbox).await;
+        if life > 0 {
+            restarts.fetch_add(1, Ordering::Relaxed);
+        }
         let ended = running.await;
         desk.close(shard);
         match ended {
--- a/dispatcher/tests/scenarios/command_line.rs
+++ b/dispatcher/tests/scenarios/command_line.rs
@@ -71,6 +71,27 @@
     for (file, told) in wrong {
         says(check, file, 2, told);
     }
+    for (key, value) in [
+        ("workers", "0"),
+        ("workers", "65"),
+        ("workers", "2.5"),
+        ("workers", "-1"),
+        ("workers", "\"all\""),
+        ("workers", "{}"),
+        ("pin_workers", "1"),
+        ("shards", "0"),
+        ("shards", "3"),
+    ] {
+        let file = GOOD.replacen('{', &format!("{{\"{key}\": {value}, "), 1);
+        says(check, &file, 2, &format!("configuration: {key}: "));
+    }
+    for value in ["1", "4", "\"auto\"", "null"] {
+        let file = GOOD.replacen('{', &format!("{{\"workers\": {value}, "), 1);
+        says(check, &file, 0, "");
+    }
+    // Each shard needs a connection to each engine.
+    let tight = GOOD.replacen('{', r#"{"workers": 30, "limits": {"sockets": 64}, "#, 1);
+    says(check, &tight, 2, "configuration: workers: limits.sockets");
 }
 
 #[test]
--- a/dispatcher/tests/scenarios/main.rs
+++ b/dispatcher/tests/scenarios/main.rs
@@ -10,3 +10,4 @@
 mod pg_client;
 mod stage;
 mod wire;
+mod workers;
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -24,9 +24,10 @@
         *loads.entry(id).or_default() += 1;
     }
 
-    /// Loads that came more than once, to whichever engine.
+    /// Loads that came more than once since this was asked last, to whichever engine.
     pub fn doubled(&self) -> usize {
-        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let loads = std::mem::take(&mut *loads);
         loads.values().filter(|count| **count > 1).count()
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The laboratory's command line.
 
 mod cores;
+mod decide;
 mod engine;
 mod load;
 mod plan;
@@ -23,11 +24,16 @@
 enum Experiment {
     /// Throughput, latency, CPU and fairness by the number of workers.
     Cores(cores::Cores),
+    /// What decisions cost by themselves: one gateway behind a lock, and shards with a ledger.
+    Decide(decide::Decide),
 }
 
 fn main() -> ExitCode {
-    let Experiment::Cores(cores) = Arguments::parse().experiment;
-    match cores.run() {
+    let ran = match Arguments::parse().experiment {
+        Experiment::Cores(cores) => cores.run(),
+        Experiment::Decide(decide) => decide.run(),
+    };
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("sedgebeam-lab: {error}");
