--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -293,6 +293,17 @@
     timeout(HANGS, pending).await.expect("an answer")
 }
 
+/// Answers all of these, and sees that their clients are served.
+async fn served(sent: &[Sent], pending: Vec<(u64, Pending)>) {
+    for sent in sent {
+        answer(sent).await;
+    }
+    for (id, pending) in pending {
+        let answer = answered(pending).await;
+        assert!(matches!(answer, Answer::Rows(_)), "{id}: {answer:?}");
+    }
+}
+
 fn block_on(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -348,13 +359,7 @@
         // Its names are free again, and it serves again, with the list that the others have.
         let (pending, sent) = all_out(&mut bench, 101..125).await;
         assert!(sent.iter().any(|sent| sent.worker == VICTIM));
-        for sent in &sent {
-            answer(sent).await;
-        }
-        for (id, pending) in pending {
-            let answer = answered(pending).await;
-            assert!(matches!(answer, Answer::Rows(_)), "{id}: {answer:?}");
-        }
+        served(&sent, pending).await;
         assert!(
             bench.sends.values().all(|sends| *sends == 1),
             "{:?}",
@@ -372,13 +377,7 @@
         bench.until(|bench| !bench.crew.desk.lives(1)).await;
         let (during, sent) = all_out(&mut bench, 101..125).await;
         assert!(sent.iter().all(|sent| sent.worker != VICTIM));
-        for sent in &sent {
-            answer(sent).await;
-        }
-        for (id, pending) in during {
-            let answer = answered(pending).await;
-            assert!(matches!(answer, Answer::Rows(_)), "{id}: {answer:?}");
-        }
+        served(&sent, during).await;
         assert!(!bench.crew.desk.lives(1), "it stands still all the while");
         // A name that it has open is open for all.
         let stalled = sent_before.iter().find(|sent| sent.worker == VICTIM);
@@ -389,13 +388,7 @@
             "{again:?}"
         );
         bench.world.release();
-        for sent in &sent_before {
-            answer(sent).await;
-        }
-        for (id, pending) in before {
-            let answer = answered(pending).await;
-            assert!(matches!(answer, Answer::Rows(_)), "{id}: {answer:?}");
-        }
+        served(&sent_before, before).await;
         assert!(
             bench.sends.values().all(|sends| *sends == 1),
             "{:?}",
--- a/leases/tests/interleavings.rs
+++ b/leases/tests/interleavings.rs
@@ -188,6 +188,19 @@
         self.ledger.crash(ShardId(place));
     }
 
+    fn play(&mut self, step: Step) {
+        match step {
+            Step::Borrow { shard, wants, ends } => self.borrow(shard, wants, ends),
+            Step::Settle {
+                shard,
+                queries,
+                threads,
+            } => self.settle(shard, queries, threads),
+            Step::Wait(time) => self.now = self.now + Micros(u64::from(time)),
+            Step::Crash(shard) => self.crash(shard),
+        }
+    }
+
     /// Nothing is handed out twice, whatever has happened.
     fn check(&self) -> Result<(), TestCaseError> {
         for engine in (0..ENGINES).map(EngineId) {
@@ -220,12 +233,7 @@
     fn shards_together_never_hold_more_than_one_gateway_may(steps in vec(step(), 1..120)) {
         let mut world = World::new();
         for step in steps {
-            match step {
-                Step::Borrow { shard, wants, ends } => world.borrow(shard, wants, ends),
-                Step::Settle { shard, queries, threads } => world.settle(shard, queries, threads),
-                Step::Wait(time) => world.now = world.now + Micros(u64::from(time)),
-                Step::Crash(shard) => world.crash(shard),
-            }
+            world.play(step);
             world.check()?;
         }
     }
@@ -235,12 +243,7 @@
     fn what_has_been_lent_comes_back(steps in vec(step(), 1..60)) {
         let mut world = World::new();
         for step in steps {
-            match step {
-                Step::Borrow { shard, wants, ends } => world.borrow(shard, wants, ends),
-                Step::Settle { shard, queries, threads } => world.settle(shard, queries, threads),
-                Step::Wait(time) => world.now = world.now + Micros(u64::from(time)),
-                Step::Crash(shard) => world.crash(shard),
-            }
+            world.play(step);
         }
         world.now = world.now + LEASE + Micros(1);
         world.ledger.expire(world.now);
