Say once what the parts of the dispatcher said twice, and drop what nothing uses

Cause: a rereading of the change. The desk had its own copy of the module's mixer, the standing list and the change log's fold applied changes each by itself, a request's mailbox was looked up and cloned twice, one worker and several started sessions on separate paths, and a send that is not made was told in three places. Some figures of the ledger were kept and read by nobody. Change: mix, apply, supervise::watch_on, mailbox_for and not_sent serve all of them; the unused is gone; a borrowing and its threads are one value.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -208,7 +208,7 @@
             match action {
                 Action::Send {
                     request, engine, ..
-                } if !stands => self.not_sent(request, engine, now),
+                } if !stands => self.not_sent(request, engine, Outcome::Moot, now),
                 action => self.act(action, now),
             }
         }
@@ -240,12 +240,12 @@
         (actions, stands)
     }
 
-    /// A send that must not be made: it never ran.
-    fn not_sent(&mut self, id: RequestId, to: EngineId, now: Instant) {
+    /// A send that is not made: it never ran.
+    fn not_sent(&mut self, id: RequestId, to: EngineId, outcome: Outcome, now: Instant) {
         if let Some(open) = self.open.get_mut(&id) {
             let number = AttemptNo(open.attempts.len() as u32);
             open.attempts.push(None);
-            self.report(id, number, to, Outcome::Moot, now, now);
+            self.report(id, number, to, outcome, now, now);
         }
     }
 
@@ -432,9 +432,7 @@
             } else {
                 Outcome::ConnectFailed
             };
-            open.attempts.push(None);
-            self.report(id, number, to, outcome, now, now);
-            return;
+            return self.not_sent(id, to, outcome, now);
         };
         let left = open.deadline - now;
         let timeout = match timeout {
@@ -451,9 +449,7 @@
         };
         let mailbox = known.mailbox.clone();
         if mailbox.try_send(ToEngine::Send(attempt)).is_err() {
-            open.attempts.push(None);
-            self.report(id, number, to, Outcome::ConnectFailed, now, now);
-            return;
+            return self.not_sent(id, to, Outcome::ConnectFailed, now);
         }
         open.attempts.push(Some(Out {
             engine: to,
--- a/broker/src/parts.rs
+++ b/broker/src/parts.rs
@@ -77,11 +77,6 @@
         drop(engines);
         self.wake(&waiters);
     }
-
-    /// Leases that were void before they were settled.
-    pub fn voided(&self) -> u64 {
-        lock(&self.ledger).voided()
-    }
 }
 
 /// One shard's hold on what is shared.
--- a/dispatcher/src/crew.rs
+++ b/dispatcher/src/crew.rs
@@ -51,11 +51,7 @@
 
     /// Runs a task there; its panic is logged.
     pub fn watch(&self, name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
-        // What is spawned inside runs on the same worker.
-        let watched = async move {
-            supervise::watch(name.to_string(), task, || {});
-        };
-        self.runtime.spawn(watched);
+        supervise::watch_on(&self.runtime, name.to_string(), task, || {});
     }
 
     pub fn count(&self) -> Counted {
@@ -70,7 +66,6 @@
     workers: Vec<Worker>,
     /// The first so many of them have a shard.
     shards: usize,
-    shared: Option<Arc<Shared>>,
     turn: AtomicUsize,
     /// Brokers that have come after one that had died.
     restarts: Arc<AtomicUsize>,
@@ -110,7 +105,6 @@
             desk,
             workers: vec![Worker::new(Handle::current())],
             shards: 1,
-            shared: None,
             turn: AtomicUsize::new(0),
             restarts: Arc::default(),
         })
@@ -148,7 +142,6 @@
             desk,
             workers,
             shards: config.shards,
-            shared: Some(shared),
             turn: AtomicUsize::new(0),
             restarts,
         };
@@ -188,11 +181,6 @@
     pub fn restarts(&self) -> usize {
         self.restarts.load(Ordering::Relaxed)
     }
-
-    /// Decisions that were not carried out as they came too late, over all shards.
-    pub fn voided(&self) -> u64 {
-        self.shared.as_ref().map_or(0, |shared| shared.voided())
-    }
 }
 
 /// Has the system make its table of descriptors as large as it may become, while there is one thread: when it
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -2,7 +2,7 @@
 
 use futures::StreamExt;
 use miniserde::{Deserialize, json};
-use sedgebeam_port::{Desk, Listing, Target};
+use sedgebeam_port::{Desk, Listing, Target, apply};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,6 +25,13 @@
         let fleet = Fleet { all: None, targets };
         Change { seq: 0, fleet }
     }
+
+    fn listing(&self) -> Listing {
+        match self.fleet.all {
+            Some(true) => Listing::Complete,
+            _ => Listing::Changes,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -47,15 +54,8 @@
 pub fn fold(changes: Vec<Change>) -> Vec<Target> {
     let mut list: Vec<Target> = Vec::new();
     for change in changes {
-        if change.fleet.all == Some(true) {
-            list.clear();
-        }
-        for target in change.fleet.targets {
-            list.retain(|known| known.uid != target.uid);
-            list.push(target);
-        }
+        apply(&mut list, change.listing(), &change.fleet.targets);
     }
-    list.retain(|target| target.state != "removed");
     list
 }
 
@@ -118,17 +118,12 @@
         if change.seq <= *seq {
             continue;
         }
-        let whole = change.fleet.all == Some(true);
-        if !whole && change.seq > *seq + 1 {
+        let listing = change.listing();
+        if listing == Listing::Changes && change.seq > *seq + 1 {
             let why = format!("{} follows {seq}: asking for the whole list", change.seq);
             *seq = 0;
             return Err(io::Error::other(why));
         }
-        let listing = if whole {
-            Listing::Complete
-        } else {
-            Listing::Changes
-        };
         if desk.list(listing, change.fleet.targets).await.is_err() {
             return Ok(());
         }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -244,19 +244,16 @@
         let (shared, key) = (self.shared.clone(), SessionKey(self.next));
         let (ending, message) = (self.ending.clone(), self.message);
         let alive = self.alive.clone();
-        if !self.crew.is_several() {
-            let task = async move {
-                pg::serve(stream, shared, key, ending, place, message).await;
-                drop(alive);
-            };
-            supervise::watch("a session".to_string(), task, || {});
-            return;
-        }
-        // It is served where it is read: its sockets' events must come on its worker's thread.
-        let (_, worker) = self.crew.place();
+        let (several, (_, worker)) = (self.crew.is_several(), self.crew.place());
         let counted = worker.count();
         let task = async move {
-            match stream.into_std().and_then(TcpStream::from_std) {
+            // It is served where it is read: its socket's events must come on its worker's thread.
+            let stream = if several {
+                stream.into_std().and_then(TcpStream::from_std)
+            } else {
+                Ok(stream)
+            };
+            match stream {
                 Ok(stream) => pg::serve(stream, shared, key, ending, place, message).await,
                 Err(error) => log::warn!("a session is not handed over: {error}"),
             }
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -260,6 +260,11 @@
         sent
     }
 
+    fn sent_each_once(&self) {
+        let once = self.sends.values().all(|sends| *sends == 1);
+        assert!(once, "{:?}", self.sends);
+    }
+
     /// Hears of something new in the list, and of that alone.
     async fn hears_of(&self, uid: &str) {
         let told = self.crew.desk.list(Listing::Changes, vec![target(uid)]);
@@ -360,11 +365,7 @@
         let (pending, sent) = all_out(&mut bench, 101..125).await;
         assert!(sent.iter().any(|sent| sent.worker == VICTIM));
         served(&sent, pending).await;
-        assert!(
-            bench.sends.values().all(|sends| *sends == 1),
-            "{:?}",
-            bench.sends
-        );
+        bench.sent_each_once();
     });
 }
 
@@ -389,11 +390,7 @@
         );
         bench.world.release();
         served(&sent_before, before).await;
-        assert!(
-            bench.sends.values().all(|sends| *sends == 1),
-            "{:?}",
-            bench.sends
-        );
+        bench.sent_each_once();
     });
 }
 
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -5,7 +5,7 @@
 use rand_distr::{Distribution, Exp};
 use std::time::Duration;
 
-/// The classes of request, as BENCH-like traffic mixes them: name, share of the requests, threads.
+/// The classes of request, as the ledger warehouse sees them: name, share of the requests, threads.
 pub const CLASSES: [(&str, f64, u32); 3] = [
     ("lookup", 0.79, 1),
     ("report", 0.15, 4),
--- a/leases/src/counts.rs
+++ b/leases/src/counts.rs
@@ -1,53 +1,39 @@
 //! A number that is divided among shards: each holds a lease of so many, and renews it as it goes.
 
-/// What one shard has.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lease {
-    used: usize,
-    granted: usize,
-}
-
 /// Leases of a whole number, such as of requests that may be open. The sum of what is granted is never
 /// more than the whole; what a shard does not use moves to those that do at its next renewal.
 #[derive(Debug)]
 pub struct Counts {
     most: usize,
-    leases: Vec<Lease>,
+    /// What each shard has been granted.
+    granted: Vec<usize>,
 }
 
 impl Counts {
     pub fn new(shards: usize, most: usize) -> Counts {
         Counts {
             most,
-            leases: vec![Lease::default(); shards],
+            granted: vec![0; shards],
         }
     }
 
     /// Renews a shard's lease, of which it uses so many, and gives the new one: what it uses, and its part
     /// of what is free. It is less than what is used only where the shard has gone beyond its lease.
     pub fn renew(&mut self, shard: usize, used: usize) -> usize {
-        let others = self.leases.iter().enumerate();
-        let others = others.filter(|(place, _)| *place != shard);
-        let taken: usize = others.map(|(_, lease)| lease.granted).sum();
+        let taken = self.granted.iter().sum::<usize>() - self.granted[shard];
         let mine = self.most.saturating_sub(taken);
         // Half of what is free stays for those that come next, so that it moves to where it is asked for.
         let free = mine.saturating_sub(used);
-        let alone = self.leases.len() == 1;
+        let alone = self.granted.len() == 1;
         let spare = if alone { free } else { free.div_ceil(2) };
         let granted = (used + spare).min(mine);
-        self.leases[shard] = Lease { used, granted };
+        self.granted[shard] = granted;
         granted
     }
 
     /// Ends a shard's lease.
     pub fn leave(&mut self, shard: usize) {
-        self.leases[shard] = Lease::default();
-    }
-
-    /// What all use by their last word, and what is granted.
-    pub fn sums(&self) -> (usize, usize) {
-        let used = self.leases.iter().map(|lease| lease.used).sum();
-        (used, self.leases.iter().map(|lease| lease.granted).sum())
+        self.granted[shard] = 0;
     }
 }
 
--- a/leases/src/engines.rs
+++ b/leases/src/engines.rs
@@ -112,11 +112,6 @@
         sum
     }
 
-    pub fn work(&self, now: Micros, window: Micros) -> f64 {
-        let recent = self.sends.iter().filter(|(at, _, _)| *at + window > now);
-        recent.map(|(_, _, work)| work).sum()
-    }
-
     pub fn work_of_others(&self, shard: usize, now: Micros, window: Micros) -> f64 {
         let recent = self.sends.iter().filter(|(at, _, _)| *at + window > now);
         let others = recent.filter(|(_, by, _)| *by != shard);
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -72,13 +72,19 @@
     pub wake: Vec<ShardId>,
 }
 
+/// A borrowing that is not settled yet.
+#[derive(Clone, Copy, Debug)]
+struct Lent {
+    ticket: Ticket,
+    at: Micros,
+    /// Threads that the shard may send to the fleet on it.
+    threads: f64,
+}
+
 /// A shard as the ledger knows it.
 #[derive(Clone, Debug, Default)]
 struct Shard {
-    /// The borrowing that is not settled yet, and when it was made.
-    loan: Option<(u64, Micros)>,
-    /// Threads that it may send to the fleet on it.
-    reserved: f64,
+    lent: Option<Lent>,
     wants: f64,
     classes: Vec<ClassOut>,
     waiting: Vec<Vec<usize>>,
@@ -131,7 +137,7 @@
         self.expire(now);
         self.take_back(shard);
         self.tickets += 1;
-        let ticket = self.tickets;
+        let ticket = Ticket(self.tickets);
         let own = shard.0;
         let wants = wish.threads.max(0.0);
         self.shards[own].wants = wants;
@@ -162,11 +168,13 @@
         });
         let engines: Vec<EngineShare> = engines.collect();
         let (classes, waiting) = (self.classes(shard), self.waiting(shard));
-        let borrower = &mut self.shards[own];
-        borrower.loan = Some((ticket, now));
-        borrower.reserved = most;
+        self.shards[own].lent = Some(Lent {
+            ticket,
+            at: now,
+            threads: most,
+        });
         Loan {
-            ticket: Ticket(ticket),
+            ticket,
             siblings: Siblings {
                 engines,
                 classes,
@@ -190,10 +198,8 @@
     ) -> Settled {
         self.expire(now);
         let own = shard.0;
-        if self.shards[own]
-            .loan
-            .is_none_or(|(loan, _)| loan != ticket.0)
-        {
+        let lent = self.shards[own].lent;
+        if lent.is_none_or(|lent| lent.ticket != ticket) {
             return Settled::default();
         }
         self.take_back(shard);
@@ -220,8 +226,8 @@
     pub fn expire(&mut self, now: Micros) {
         for place in 0..self.shards.len() {
             let shard = &self.shards[place];
-            let late = |(_, at): (u64, Micros)| now > at + self.terms.lease;
-            if shard.loan.is_some_and(late) {
+            let late = |lent: Lent| now > lent.at + self.terms.lease;
+            if shard.lent.is_some_and(late) {
                 self.voided += 1;
                 self.take_back(ShardId(place));
                 self.shards[place].wants = 0.0;
@@ -240,12 +246,6 @@
         book.map_or((0.0, 0.0), |book| (book.threads(), book.lent()))
     }
 
-    /// Work sent to an engine by all shards within the cold window, in core seconds.
-    pub fn work_sent(&self, engine: EngineId, now: Micros) -> f64 {
-        let book = self.engines.get(&engine);
-        book.map_or(0.0, |book| book.work(now, self.terms.cold_window))
-    }
-
     fn others(&self, shard: ShardId) -> impl Iterator<Item = &Shard> {
         let shards = self.shards.iter().enumerate();
         shards.filter_map(move |(place, other)| (place != shard.0).then_some(other))
@@ -259,9 +259,7 @@
 
     /// Ends what the shard has borrowed.
     fn take_back(&mut self, shard: ShardId) {
-        let own = &mut self.shards[shard.0];
-        if own.loan.take().is_some() {
-            own.reserved = 0.0;
+        if self.shards[shard.0].lent.take().is_some() {
             self.engines
                 .values_mut()
                 .for_each(|book| book.take_back(shard.0));
@@ -329,7 +327,8 @@
             }
         }
         // What others may be sending at this moment may be of any class.
-        let reserved: f64 = self.others(shard).map(|other| other.reserved).sum();
+        let lent = self.others(shard).filter_map(|other| other.lent);
+        let reserved: f64 = lent.map(|lent| lent.threads).sum();
         sum.iter_mut().for_each(|class| class.threads += reserved);
         sum
     }
--- a/leases/tests/interleavings.rs
+++ b/leases/tests/interleavings.rs
@@ -57,7 +57,6 @@
     out: BTreeMap<EngineId, Vec<f64>>,
     loan: Option<(Loan, Micros)>,
     open: usize,
-    lease: usize,
     sent: Vec<(Micros, f64)>,
 }
 
@@ -102,16 +101,8 @@
 
 impl World {
     fn new() -> World {
-        let terms = Terms {
-            shards: SHARDS,
-            lease: LEASE,
-            tick: Micros(0),
-            cold_window: WINDOW,
-            credit_cap: 4.0,
-            open: OPEN,
-        };
         World {
-            ledger: Ledger::new(terms),
+            ledger: Ledger::new(terms(SHARDS)),
             shards: (0..SHARDS).map(|_| Shard::default()).collect(),
             now: Micros(1000),
             cold: Vec::new(),
@@ -138,7 +129,6 @@
             .ledger
             .borrow(ShardId(place), self.now, &wish, shard.open);
         // It opens as many requests as it may.
-        shard.lease = loan.open;
         shard.open = (shard.open + usize::from(wants)).min(loan.open);
         shard.loan = Some((loan, self.now));
     }
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -9,7 +9,7 @@
     Answer, Asked, BrokerBox, Denied, Failure, Listing, NewRequest, Pending, SessionKey, Target,
     ToBroker, Told,
 };
-use sedgebeam_core::RequestId;
+use sedgebeam_core::{RequestId, mix};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -57,14 +57,6 @@
 #[derive(Debug)]
 pub struct Closed;
 
-/// Spreads ids that follow one another (splitmix64).
-fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 impl Desk {
     /// A desk before so many brokers, none of which has come yet.
     pub fn new(shards: usize, seed: u64, losses: Losses) -> Desk {
@@ -137,23 +129,23 @@
         }
     }
 
-    /// The shard of a request: that which its id names, or another while that one is silent.
-    pub fn shard_of(&self, id: RequestId) -> usize {
+    /// The mailbox for a request: of the shard that its id names, or of another while that one is silent.
+    fn mailbox_for(&self, id: RequestId) -> Option<BrokerBox> {
         let shards = self.slots().len() as u64;
         if shards == 1 {
-            return 0;
+            return self.mailbox(0);
         }
         let draw = |turn: u64| (mix(id.0 ^ mix(self.shared.seed ^ turn)) % shards) as usize;
-        let mut turns = (0..4 * shards).map(draw);
-        let lives = |shard: &usize| self.lives(*shard) && self.mailbox(*shard).is_some();
-        turns.find(lives).unwrap_or_else(|| draw(0))
+        let mut living = (0..4 * shards).map(draw).filter(|shard| self.lives(*shard));
+        let living = living.find_map(|shard| self.mailbox(shard));
+        living.or_else(|| self.mailbox(draw(0)))
     }
 
     /// Hands a request over; the answer is waited for on what this returns.
     pub async fn submit(&self, request: NewRequest) -> Pending {
         let (reply, answer) = oneshot::channel();
         let lost = self.lost(&request);
-        let mailbox = self.mailbox(self.shard_of(request.id));
+        let mailbox = self.mailbox_for(request.id);
         let pending = Pending::new(request.id, answer, mailbox.clone(), lost);
         if let Some(mailbox) = mailbox {
             // Where the broker is gone, the reply goes with the message and the answer says so.
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -17,4 +17,4 @@
 pub use desk::{BEAT, Closed, Desk, Losses};
 pub use engine::{Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine};
 pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker};
-pub use roster::{Listing, Target};
+pub use roster::{Listing, Target, apply};
--- a/port/src/roster.rs
+++ b/port/src/roster.rs
@@ -14,6 +14,19 @@
     pub boot_ms: Option<f64>,
 }
 
+/// Applies a change to a list: what it names stands behind the rest, and what is removed goes.
+pub fn apply(list: &mut Vec<Target>, listing: Listing, targets: &[Target]) {
+    if listing != Listing::Changes {
+        list.clear();
+    }
+    for target in targets {
+        list.retain(|known| known.uid != target.uid);
+        if target.state != "removed" {
+            list.push(target.clone());
+        }
+    }
+}
+
 /// What a list stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
--- a/port/src/standing.rs
+++ b/port/src/standing.rs
@@ -1,30 +1,21 @@
 //! What holds for all brokers alike and must be told to one that is started anew: the list of engines, and
 //! what the administration has set. No I/O.
 
-use crate::{Asked, Listing, Target};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::{Asked, Listing, Target, apply};
+use std::collections::BTreeSet;
 
 #[derive(Debug, Default)]
 pub struct Standing {
     targets: Vec<Target>,
     drained: BTreeSet<String>,
-    /// Portion and allowance by name, in the order in which they were first set.
-    tenants: Vec<String>,
-    shares: BTreeMap<String, (f64, f64)>,
+    /// Name, portion and allowance, in the order in which they were first set.
+    tenants: Vec<(String, f64, f64)>,
 }
 
 impl Standing {
     /// Takes a change of the list.
     pub fn list(&mut self, listing: Listing, targets: &[Target]) {
-        if listing != Listing::Changes {
-            self.targets.clear();
-        }
-        for target in targets {
-            self.targets.retain(|known| known.uid != target.uid);
-            if target.state != "removed" {
-                self.targets.push(target.clone());
-            }
-        }
+        apply(&mut self.targets, listing, targets);
     }
 
     /// Takes what the administration has set, once it has been done.
@@ -35,10 +26,11 @@
             Asked::Drain(uid, true) => drop(self.drained.insert(uid.clone())),
             Asked::Drain(uid, false) => drop(self.drained.remove(uid)),
             Asked::SetTenant(name, portion, allowance) => {
-                if !self.tenants.contains(name) {
-                    self.tenants.push(name.clone());
+                let told = (name.clone(), *portion, *allowance);
+                match self.tenants.iter_mut().find(|(known, _, _)| known == name) {
+                    Some(known) => *known = told,
+                    None => self.tenants.push(told),
                 }
-                self.shares.insert(name.clone(), (*portion, *allowance));
             }
             Asked::Health | Asked::Counters | Asked::Engines | Asked::Tenants => {}
         }
@@ -54,10 +46,9 @@
         let listed = |uid: &&String| self.targets.iter().any(|target| target.uid == **uid);
         let drained = self.drained.iter().filter(listed).cloned();
         let drains = drained.map(|uid| Asked::Drain(uid, true));
-        let tenants = self.tenants.iter().filter_map(|name| {
-            let (portion, allowance) = self.shares.get(name)?;
-            Some(Asked::SetTenant(name.clone(), *portion, *allowance))
-        });
+        let tenants = self.tenants.iter().cloned();
+        let tenants =
+            tenants.map(|(name, portion, allowance)| Asked::SetTenant(name, portion, allowance));
         drains.chain(tenants).collect()
     }
 }
--- a/port/src/supervise.rs
+++ b/port/src/supervise.rs
@@ -1,6 +1,7 @@
 //! No task's death passes silently: a panic is logged, and what depends on the task is told.
 
 use std::future::Future;
+use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
 /// Runs a task; should it panic, that is logged and `died` is called.
@@ -13,7 +14,21 @@
     F: Future + Send + 'static,
     F::Output: Send,
 {
-    tokio::spawn(async move {
+    watch_on(&Handle::current(), name, task, died)
+}
+
+/// The same on the runtime of another thread.
+pub fn watch_on<F>(
+    runtime: &Handle,
+    name: String,
+    task: F,
+    died: impl FnOnce() + Send + 'static,
+) -> JoinHandle<Option<F::Output>>
+where
+    F: Future + Send + 'static,
+    F::Output: Send,
+{
+    runtime.spawn(async move {
         match tokio::spawn(task).await {
             Ok(output) => Some(output),
             Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,3 +30,4 @@
 pub use interface::*;
 pub use parts::{ClassOut, EngineShare, EngineWish, Out, Published, Room, Siblings, Wish};
 pub use policy::{CREDIT_CAP, Gateway};
+pub use state::mix;
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -153,8 +153,7 @@
             }
         }
         let queued = self.requests.values().filter(|request| request.queued);
-        let threads = |class: &Class| class.threads.max(1.0);
-        let heaviest = self.settings.classes.iter().map(threads);
+        let heaviest = self.settings.classes.iter().map(|class| class.threads);
         let listed = self.engines.values().filter(|engine| engine.listed());
         let engines = listed.map(|engine| {
             let ended = ended.get(&engine.entry.id).copied().unwrap_or(0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -337,8 +337,8 @@
     pub memory_mb: f64,
 }
 
-/// A fixed mixer (splitmix64): the table-group order is the same at every gateway.
-pub(crate) fn mix(value: u64) -> u64 {
+/// A fixed mixer (splitmix64): what is ordered or drawn by it is so at every gateway alike.
+pub fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
