Read only the platform's own keys from its file, so that the program starts

The log of n0 said "configuration: admin: in .../config.json: not of the form expected here". Ruled out: build and run (one process by exec, dynamic libc, no fork), the socket filter: the program never came so far. At fault: dispatcher/src/config.rs, `decode`, which read the platform's file and the dispatcher's own with one type, so that a key the platform adds (`admin`, an address) was taken for the key of that name in our own file. Change: `Shared` holds the keys that both files may have, `Own` those that count in ours alone. Test: the_platform_s_further_keys_are_not_ours fails without the change (the load is refused with `admin`).

--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -103,9 +103,10 @@
     }
 }
 
-/// What the platform tells a dispatcher; the dispatcher's own file may hold the same keys.
+/// What the platform tells a dispatcher; the dispatcher's own file may hold the same keys. A platform that
+/// knows more keys than these is not misread: what it means by them is not for this program.
 #[derive(Default, Deserialize)]
-struct File {
+struct Shared {
     name: Option<String>,
     listen: Option<String>,
     seed: Option<String>,
@@ -113,6 +114,11 @@
     changelog: Option<String>,
     known: Option<RawKnown>,
     settings: Option<Facts>,
+}
+
+/// The keys that count in the dispatcher's own file alone.
+#[derive(Default, Deserialize)]
+struct Own {
     engines: Option<Vec<Target>>,
     flight: Option<Listener>,
     admin: Option<Listener>,
@@ -199,7 +205,11 @@
     }
 }
 
-fn decode(origin: &str, path: &Path) -> Result<File, Wrong> {
+/// Reads the keys of one kind from a file; none without one.
+fn decode<T: Default + Deserialize>(origin: &str, path: Option<&Path>) -> Result<T, Wrong> {
+    let Some(path) = path else {
+        return Ok(<T as Default>::default());
+    };
     let text = std::fs::read_to_string(path)
         .map_err(|error| wrong(origin, format!("{}: {error}", path.display())))?;
     if let Ok(file) = json::from_str(&text) {
@@ -207,7 +217,7 @@
     }
     let root: Value = json::from_str(&text)
         .map_err(|_| wrong(origin, format!("{}: not JSON", path.display())))?;
-    let key = match faulty::<File>(&root) {
+    let key = match faulty::<T>(&root) {
         key if key.is_empty() => origin.to_string(),
         key => key,
     };
@@ -284,33 +294,31 @@
             "names no file, and there is no --config",
         ));
     }
-    let read = |origin: &str, path: Option<&Path>| match path {
-        Some(path) => decode(origin, path),
-        None => Ok(<File as Default>::default()),
-    };
-    let platform = read("PROXY_CONFIG", environment.config.as_deref().map(Path::new))?;
-    let own = read("--config", own)?;
+    let config = environment.config.as_deref().map(Path::new);
+    let platform: Shared = decode("PROXY_CONFIG", config)?;
+    let fallback: Shared = decode("--config", own)?;
+    let own: Own = decode("--config", own)?;
     let listen = environment
         .listen
         .clone()
         .or(platform.listen)
-        .or(own.listen);
-    let changelog = platform.changelog.or(own.changelog);
-    let facts = platform.settings.or(own.settings);
+        .or(fallback.listen);
+    let changelog = platform.changelog.or(fallback.changelog);
+    let facts = platform.settings.or(fallback.settings);
     let facts = facts.ok_or_else(|| wrong("settings", "missing"))?;
-    let limits = platform.limits.or(own.limits).unwrap_or_default();
+    let limits = platform.limits.or(fallback.limits).unwrap_or_default();
     let sockets = limits.sockets.unwrap_or(SOCKETS).max(64) as usize;
     let memory_mb = limits.memory_mb.unwrap_or(MEMORY_MB).max(16.0);
     let sessions = (sockets as f64 * SESSIONS_PART) as usize;
-    let known = known(platform.known.or(own.known), own.engines)?;
+    let known = known(platform.known.or(fallback.known), own.engines)?;
     let mut connections = facts.connections();
     connections.max_open = connections.max_open.min((memory_mb * OPEN_PER_MB) as usize);
     let to_engine = engine_connections(sockets, roster::fold(known.changes.clone()).len());
     let workers = workers(own.workers.as_ref())?;
     let shards = shards(own.shards, workers)?;
     connections.most = divided(to_engine, shards)?;
-    let name = environment.name.clone().or(platform.name).or(own.name);
-    let seeded = platform.seed.or(own.seed);
+    let name = environment.name.clone().or(platform.name).or(fallback.name);
+    let seeded = platform.seed.or(fallback.seed);
     Ok(Config {
         name: name.unwrap_or_else(|| "sedgebeam".to_string()),
         listen: address("listen", listen.as_deref())?.ok_or_else(|| wrong("listen", "missing"))?,
@@ -392,7 +400,7 @@
 
     fn told(text: &str) -> String {
         let root: Value = json::from_str(text).expect("JSON");
-        faulty::<File>(&root)
+        faulty::<Shared>(&root)
     }
 
     #[test]
@@ -409,6 +417,36 @@
         }
     }
 
+    /// Guards against a platform that gives a key of ours a meaning of its own, and against one that opens a
+    /// listener or starts workers that the dispatcher's own file does not name.
+    #[test]
+    fn the_platform_s_further_keys_are_not_ours() {
+        let dir = std::env::temp_dir().join(format!("sedgebeam-keys-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join("platform.json");
+        let text = r#"{"listen": "127.0.0.1:1", "settings": {"services": [{"name": "a", "give_up": 10}]},
+            "admin": "127.0.0.2:7", "flight": [1], "workers": {}, "engines": 3, "shards": "x", "more": null}"#;
+        std::fs::write(&path, text).expect("a file");
+        let environment = Environment {
+            config: path.to_str().map(str::to_string),
+            ..Environment::default()
+        };
+        let loaded = load(&environment, None);
+        // The same key is wrong in the dispatcher's own file.
+        std::fs::write(&path, r#"{"admin": "127.0.0.2:7"}"#).expect("a file");
+        let own = load(&Environment::default(), Some(&path));
+        std::fs::remove_dir_all(&dir).expect("the folder goes");
+        let loaded = loaded.expect("what is not ours is skipped");
+        assert_eq!(
+            (loaded.admin, loaded.flight, loaded.workers),
+            (None, None, 1)
+        );
+        assert_eq!(
+            own.map_or_else(|wrong| wrong.key, |_| String::new()),
+            "admin"
+        );
+    }
+
     #[test]
     fn the_faulty_key_is_named() {
         let cases = [
