Bound memory by half a gateway's part, and grant rights on cold engines spread over all gateways

Loads can't be called off, so a jam stayed (130 to 195 loads out at 20 s, 22 at the start). Cold engines got some 12 lookups a second each and never a report or a load: 580 to 690 reports per 5 s were refused without an attempt, and heavy work stayed on the 12 old engines. Ruled out: too little told (probes tell nothing of memory), the list (all heard within 0.1 s of one another). At fault: fleet_room, whose memory bound grew with the multiple, up to 8 times; cold_allows, whose part for a gateway (0.07 core-s) is under one query of 2.4 or 4.7. Change: MEMORY_PART in src/policy.rs; fleet/src/cold.rs, rights by class that open as what is granted grows, begun at evenly spread points and lost when not used, and src/warming.rs, which asks them where a gateway's part is small. The bound on the sum: what is granted in a window and two more, and one query of each class.

--- /dev/null
+++ b/fleet/src/cold.rs
@@ -0,0 +1,102 @@
+//! What an engine that has started lately is sent by all gateways together, where each one's part of what it
+//! bears is under one query.
+//!
+//! A part under one query can't be kept to by counting: one gateway would never send, and if each sent one
+//! query all the same, a hundred would. Instead a right to send one query of a class opens at a gateway each
+//! time that its part has grown by that query's work, and is lost when not used for a while. Gateways begin at
+//! different points between two rights, in equal steps, so that in any time t all of them together open rights
+//! for no more than what is granted in t and one query of each class; and in any window no more is sent than
+//! what was opened in it and in the time before it in which a right lasts.
+
+/// A right lasts for so many windows.
+const LASTS: u64 = 2;
+/// Share of what the rule allows that is granted: weights are estimates.
+const MARGIN: f64 = 0.5;
+
+/// What all gateways together may send to a starting engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Warming {
+    /// Share of its capacity that it has at its start, and when it has all of it.
+    pub start: f64,
+    pub warm_after: u64,
+    /// It falls over if sent more than this multiple of what it can do, for the window.
+    pub multiple: f64,
+    pub window: u64,
+    pub gateways: f64,
+}
+
+impl Warming {
+    /// Work granted to one gateway, in core seconds, for the time since an engine's start.
+    pub fn granted(&self, age: u64, cores: f64) -> f64 {
+        let windows = (1 + LASTS) as f64;
+        let share = (self.multiple * MARGIN / windows).min(1.0);
+        let (age, whole) = (age as f64 / 1e6, self.warm_after.max(1) as f64 / 1e6);
+        let age = age.min(whole);
+        // The integral of a capacity that grows evenly.
+        let capacity = self.start * age + (1.0 - self.start) * age * age / (2.0 * whole);
+        share * capacity * cores / self.gateways.max(1.0)
+    }
+}
+
+/// Rights of one gateway to send queries of one class to one engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Right {
+    /// Queries granted of which the right has not opened yet.
+    credit: f64,
+    open_until: u64,
+}
+
+/// A gateway's rights on one engine, by class.
+#[derive(Clone, Debug, Default)]
+pub struct Rights {
+    classes: Vec<Right>,
+    granted: f64,
+}
+
+impl Rights {
+    /// Lets what is granted grow. A class is its part of the work asked for and the work of one query of it;
+    /// the phase, from 0 to 1, tells where this gateway begins between two rights of a class.
+    pub fn grow(
+        &mut self,
+        now: u64,
+        granted: f64,
+        warming: &Warming,
+        classes: &[(f64, f64)],
+        phase: impl Fn(usize) -> f64,
+    ) {
+        if self.classes.is_empty() {
+            let begin = |class| Right {
+                credit: phase(class),
+                open_until: 0,
+            };
+            self.classes = (0..classes.len()).map(begin).collect();
+        }
+        let more = (granted - self.granted).max(0.0);
+        self.granted = self.granted.max(granted);
+        for (right, (part, work)) in self.classes.iter_mut().zip(classes) {
+            right.credit += more * part / work.max(1e-6);
+            if right.credit >= 1.0 {
+                // What was not looked at for long is no reason for several at once.
+                right.credit %= 1.0;
+                right.open_until = now + LASTS * warming.window;
+            }
+        }
+    }
+
+    pub fn open(&self, class: usize, now: u64) -> bool {
+        let right = self.classes.get(class);
+        right.is_some_and(|right| now < right.open_until)
+    }
+
+    pub fn used(&mut self, class: usize) {
+        if let Some(right) = self.classes.get_mut(class) {
+            right.open_until = 0;
+        }
+    }
+}
+
+/// Where a gateway begins: evenly spread over gateways, and at another place for each engine and class.
+pub fn phase(me: u32, gateways: f64, salt: u64) -> f64 {
+    let shift = salt as f64 / u64::MAX as f64;
+    (f64::from(me) / gateways.max(1.0) + shift).fract()
+}
--- /dev/null
+++ b/fleet/tests/cold.rs
@@ -0,0 +1,79 @@
+//! The rights of all gateways together, against the rule that they are made to keep.
+
+use proptest::prelude::*;
+use sedgebeam_fleet::cold::{Rights, Warming, phase};
+
+const MS: u64 = 1000;
+
+fn warming(gateways: u32) -> Warming {
+    Warming {
+        start: 0.3,
+        warm_after: 14_000 * MS,
+        multiple: 4.0,
+        window: 1000 * MS,
+        gateways: f64::from(gateways),
+    }
+}
+
+/// Sends of all gateways, as time and work: each uses a right at the end of a span as long as the caller says,
+/// which is the worst that chance can bring together, and at the latest when it would be lost.
+fn sends(gateways: u32, cores: f64, classes: &[(f64, f64)], hoard: u64) -> Vec<(u64, f64)> {
+    let warming = warming(gateways);
+    let mut sends = Vec::new();
+    for me in 0..gateways {
+        let mut rights = Rights::default();
+        for now in (0..warming.warm_after).step_by(20_000) {
+            let granted = warming.granted(now, cores);
+            rights.grow(now, granted, &warming, classes, |class| {
+                phase(me, f64::from(gateways), (class as u64 * 7919) << 40)
+            });
+            for (class, (_, work)) in classes.iter().enumerate() {
+                if rights.open(class, now) && now % hoard < 20_000 {
+                    rights.used(class);
+                    sends.push((now, *work));
+                }
+            }
+        }
+    }
+    sends.sort_by_key(|(at, _)| *at);
+    sends
+}
+
+/// The most work within a window, over what the rule allows there.
+fn worst(sends: &[(u64, f64)], cores: f64) -> f64 {
+    let warming = warming(1);
+    let window = |at: u64| {
+        let within = sends
+            .iter()
+            .filter(|(t, _)| *t <= at && t + warming.window > at);
+        let age = at.saturating_sub(warming.window) as f64 / warming.warm_after as f64;
+        let able = cores * (warming.start + (1.0 - warming.start) * age);
+        within.map(|(_, work)| work).sum::<f64>() / (warming.multiple * able)
+    };
+    sends.iter().map(|(at, _)| window(*at)).fold(0.0, f64::max)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+    #[test]
+    fn no_window_holds_more_than_the_rule_allows(
+        gateways in 7u32..150,
+        heavy in 1.0f64..4.5,
+        part in 0.1f64..0.9,
+        hoard in 1u64..2000,
+    ) {
+        let classes = [(part, 0.08), (1.0 - part, heavy)];
+        let sends = sends(gateways, 12.0, &classes, hoard * MS);
+        prop_assert!(worst(&sends, 12.0) <= 1.0, "{}", worst(&sends, 12.0));
+        // And a cold engine does get work of both classes.
+        let heavies = sends.iter().filter(|(_, work)| *work >= 1.0).count();
+        prop_assert!(hoard > 100 || (sends.len() > 50 && heavies > 0), "{} {heavies}", sends.len());
+    }
+}
+
+/// The check fails where each gateway sends one query whatever its part is.
+#[test]
+fn one_query_each_breaks_the_rule() {
+    let all: Vec<(u64, f64)> = (0..100).map(|_| (20 * MS, 2.4)).collect();
+    assert!(worst(&all, 12.0) > 1.0);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Facts {
     balancers: Option<u32>,
+    me: Option<u32>,
     services: Option<Vec<Service>>,
     tenants: Option<Vec<Account>>,
     kinds: Option<Vec<String>>,
@@ -281,6 +282,7 @@
         let advice = limits.retry_after.unwrap_or_default();
         Settings {
             gateways: self.balancers.unwrap_or_default(),
+            me: self.me,
             zone: self
                 .zone
                 .as_deref()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -160,6 +160,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub gateways: u32,
+    /// This gateway's number among them, where told.
+    pub me: Option<u32>,
     pub zone: Option<ZoneId>,
     pub classes: Vec<Class>,
     pub tenants: Vec<Tenant>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 mod policy;
 mod scale;
 mod state;
+mod warming;
 
 pub use interface::*;
 pub use parts::{ClassOut, EngineShare, EngineWish, Out, Published, Room, Siblings, Wish};
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -187,12 +187,6 @@
         }
     }
 
-    /// Whether the engine has started so lately that it is not warm yet.
-    pub(crate) fn is_cold(&self, engine: &EngineView, now: Micros) -> bool {
-        let started = engine.entry.started_at;
-        started > Micros(0) && now < started + self.settings.warm_after
-    }
-
     /// Hears what its siblings hold, and what room it has until it publishes.
     pub fn hear(&mut self, siblings: Siblings) {
         for share in siblings.engines {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,6 +22,8 @@
 const PRESSED: f64 = 1.5;
 /// An answer that took this many times what its work takes alone tells of a crowd.
 const CROWDED: f64 = 2.0;
+/// Share of its part of the memory that a gateway may have out: chance puts twice the mean on some engines.
+const MEMORY_PART: f64 = 0.5;
 /// How long a wait or spill note or a full reply counts as pressure.
 const SIGN_LASTS: Micros = Micros::from_millis(1000);
 /// A queue holds at least this many queries: a bound of none would refuse at the first ripple.
@@ -50,8 +52,6 @@
 const OVERDUE: f64 = 5.0;
 /// The same for what might stand still behind a load, whose time scatters more.
 const OVERDUE_HELD: f64 = 8.0;
-/// Share of the gateway's part of a cold engine's budget that is used: estimates scatter.
-const COLD_MARGIN: f64 = 0.5;
 /// Grant over the estimate before anything is learned.
 const GRANT: f64 = 1.25;
 /// Weight of a spill note in what is added to the grant, the most added, and how fast it falls back.
@@ -118,20 +118,19 @@
 #[derive(Default)]
 pub struct Gateway {
     pub(crate) settings: Settings,
-    now: Micros,
-    started_at: Option<Micros>,
+    pub(crate) now: Micros,
+    pub(crate) started_at: Option<Micros>,
     pub(crate) engines: BTreeMap<EngineId, EngineView>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) queues: Queues,
     pub(crate) class_credit: Credit,
     pub(crate) tenant_credit: Vec<Credit>,
     pub(crate) elsewhere: Elsewhere,
-    usual: Vec<Usual>,
+    pub(crate) usual: Vec<Usual>,
     fleet: Fleet,
     /// For draws that spread the gateways apart.
-    seed: u64,
-    /// See [`Settings::small_part`].
-    small_part: bool,
+    pub(crate) seed: u64,
+    pub(crate) small_part: bool,
     /// How many times its part of the fleet this gateway may have out.
     multiple: Multiple,
     rests: Rests,
@@ -201,6 +200,7 @@
             self.take(event);
         }
         self.survey();
+        self.warm();
         self.look();
         while self.release().is_some() {}
         self.refuse_beyond_bound();
@@ -318,7 +318,7 @@
             }
         }
         let fits = threads + request.threads <= self.fleet.threads * self.multiple.now
-            && (self.settings.memory_line || memory_mb <= self.fleet.memory_mb * self.multiple.now);
+            && (self.settings.memory_line || memory_mb <= self.fleet.memory_mb * MEMORY_PART);
         request.threads <= self.elsewhere.room.0 && (threads == 0.0 || fits)
     }
 
@@ -343,6 +343,7 @@
             self.usual[class].work.add(MEAN_GAIN, query.work.0 as f64);
         }
         self.worth.add(MEAN_GAIN, settings.worth);
+        self.usual[class].taken += 1.0;
         if let Some(key) = query.key.filter(|_| settings.in_key_order) {
             self.keys.entry(key).or_default().waiting.push_back(id);
         }
@@ -416,7 +417,7 @@
     }
 
     /// Thread seconds that a draw of the class usually holds.
-    fn held(&self, class: usize) -> f64 {
+    pub(crate) fn held(&self, class: usize) -> f64 {
         let settings = &self.settings.classes[class];
         let unknown = settings.on_time.0 as f64;
         let took = self.usual[class].took.0.unwrap_or(unknown).max(1000.0);
@@ -517,6 +518,10 @@
         }
         eligible.retain(|engine| self.has_slot(engine, request));
         prefer(&mut eligible, |engine| !request.tried(engine.entry.id));
+        // A right on a cold engine is rare for a heavy query, and lost when not used.
+        if self.by_rights() && !self.light(request.class) {
+            prefer(&mut eligible, |engine| self.is_cold(engine, self.now));
+        }
         self.in_order(request, &mut eligible);
         let near = |engine: &&&EngineView| load(engine) <= NEAR_MEAN * mean;
         let least = || eligible.iter().min_by(|a, b| load(a).total_cmp(&load(b)));
@@ -731,27 +736,6 @@
         (most == 0 || made < most) && out <= copies && (made == 0 || !rationed)
     }
 
-    /// What a send weighs on a cold engine, in core seconds: the usual work of its class.
-    fn weight(&self, request: &Request) -> f64 {
-        let work = self.usual[request.class].work.0;
-        work.map_or(self.held(request.class), |work| work / 1e6)
-    }
-
-    /// A cold engine gets this gateway's part of what it can bear in any window, and nothing before an
-    /// earlier life of this gateway, of which nothing is known, is a window away.
-    fn cold_allows(&self, request: &Request, engine: &EngineView) -> bool {
-        let (settings, now) = (&self.settings, self.now);
-        let window = settings.overload_for;
-        if !self.is_cold(engine, now) {
-            return true;
-        }
-        let able = engine.cores * settings.start_capacity * window.0 as f64 / 1e6;
-        let part = settings.fall_multiple * able * COLD_MARGIN / self.settings.all_gateways();
-        let sent = engine.work_sent(now, window);
-        let settled = self.started_at.is_some_and(|at| now >= at + window);
-        settled && sent + self.weight(request) <= part
-    }
-
     // ---- 8. Attempts ----
 
     fn send(&mut self, id: RequestId, to: EngineId) -> Option<()> {
@@ -760,7 +744,7 @@
         if !self.may_send(request, engine) {
             return None;
         }
-        let (work, need) = (self.weight(request), self.need(request));
+        let (work, need) = (self.weight(request.class), self.need(request));
         if self.settings.takes_grants || self.settings.takes_priorities {
             self.actions.push(self.terms(request));
         }
@@ -774,6 +758,7 @@
         engine.begins(request, self.settings.classes[request.class].holds_group);
         self.elsewhere.room.0 -= request.threads;
         engine.sent(now, window, work);
+        engine.rights.used(request.class);
         if let (Some(budget), false) = (self.settings.attempt_budget, request.attempts.is_empty()) {
             self.extra.add(now, budget.window);
         }
--- a/src/scale.rs
+++ b/src/scale.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{Class, Settings, Tenant};
 use sedgebeam_fleet::Rests;
+use sedgebeam_fleet::cold::Warming;
 
 /// Threads out a core, over all gateways, that an engine under pressure gets (DESIGN).
 pub(crate) const THREADS_PER_CORE: f64 = 2.0;
@@ -34,6 +35,16 @@
         self.most_cores() * THREADS_PER_CORE < heaviest * self.all_gateways()
     }
 
+    pub(crate) fn warming(&self) -> Warming {
+        Warming {
+            start: self.start_capacity,
+            warm_after: self.warm_after.0,
+            multiple: self.fall_multiple,
+            window: self.overload_for.0,
+            gateways: self.all_gateways(),
+        }
+    }
+
     /// Rests of engines that are tried with the lightest query.
     pub(crate) fn rests(&self) -> Rests {
         let work = |class: &Class| class.threads.max(1.0) * class.on_time.0 as f64 / 1e6;
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use crate::parts::EngineShare;
 use sedgebeam_fleet::Health;
+use sedgebeam_fleet::cold::Rights;
 use std::collections::VecDeque;
 
 pub(crate) struct Attempt {
@@ -117,6 +118,8 @@
     pub held_by_others: Vec<(GroupId, Micros)>,
     pub heard_at: Micros,
     pub health: Health,
+    /// Rights to send to it while it is cold, where a gateway's part is under one query.
+    pub rights: Rights,
     /// Work sent in the last cold window.
     pub sends: VecDeque<(Micros, f64)>,
     /// Work sent that the siblings of this part have not been told of.
@@ -157,7 +160,7 @@
         (self.cores, self.memory_mb) = (kind.cores.max(1.0), kind.memory_mb);
         if entry.started_at > self.entry.started_at {
             (self.told, self.pace) = (None, 0.0);
-            self.health = Health::default();
+            (self.health, self.rights) = (Health::default(), Rights::default());
         }
         self.entry = entry;
     }
@@ -243,6 +246,8 @@
     /// Mean time that an attempt takes, and mean estimate of the work, in microseconds.
     pub took: Mean,
     pub work: Mean,
+    /// How many were taken.
+    pub taken: f64,
     /// Memory needed over the granted estimate.
     pub spilled: f64,
 }
--- /dev/null
+++ b/src/warming.rs
@@ -0,0 +1,78 @@
+//! Sends to engines that are not warm yet: the fourth rule, for one gateway of few and for one of many.
+
+use crate::interface::Micros;
+use crate::policy::Gateway;
+use crate::state::{EngineView, Request, mix};
+use sedgebeam_fleet::cold;
+
+/// Share of the gateway's part of a cold engine's budget that is used: estimates scatter.
+const COLD_MARGIN: f64 = 0.5;
+
+impl Gateway {
+    /// What a send weighs on a cold engine, in core seconds: the usual work of its class.
+    pub(crate) fn weight(&self, class: usize) -> f64 {
+        let work = self.usual[class].work.0;
+        work.map_or(self.held(class), |work| work / 1e6)
+    }
+
+    /// Whether the engine has started so lately that it is not warm yet.
+    pub(crate) fn is_cold(&self, engine: &EngineView, now: Micros) -> bool {
+        let started = engine.entry.started_at;
+        started > Micros(0) && now < started + self.settings.warm_after
+    }
+
+    /// This gateway's part of what a cold engine bears is under one query, and there are no shards to share it.
+    pub(crate) fn by_rights(&self) -> bool {
+        self.small_part && !self.elsewhere.parted
+    }
+
+    /// A cold engine gets this gateway's part of what it can bear in any window, and nothing before an
+    /// earlier life of this gateway, of which nothing is known, is a window away.
+    pub(crate) fn cold_allows(&self, request: &Request, engine: &EngineView) -> bool {
+        let (settings, now) = (&self.settings, self.now);
+        let window = settings.overload_for;
+        if !self.is_cold(engine, now) {
+            return true;
+        }
+        let settled = self.started_at.is_some_and(|at| now >= at + window);
+        if self.by_rights() {
+            return settled && engine.rights.open(request.class, now.0);
+        }
+        let able = engine.cores * settings.start_capacity * window.0 as f64 / 1e6;
+        let part = settings.fall_multiple * able * COLD_MARGIN / settings.all_gateways();
+        let sent = engine.work_sent(now, window);
+        settled && sent + self.weight(request.class) <= part
+    }
+
+    /// Lets the rights on cold engines grow.
+    pub(crate) fn warm(&mut self) {
+        if !self.by_rights() {
+            return;
+        }
+        let (now, settings) = (self.now, &self.settings);
+        let (warming, seed) = (settings.warming(), self.seed);
+        let me = settings.me.unwrap_or(mix(seed) as u32 % settings.gateways);
+        let works = (0..settings.classes.len()).map(|class| self.weight(class));
+        let works: Vec<f64> = works.collect();
+        let asked = self.usual.iter().zip(&works);
+        let asked: Vec<f64> = asked.map(|(usual, work)| usual.taken * work).collect();
+        let all = asked.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        let classes = asked.iter().map(|part| part / all).zip(works);
+        let classes: Vec<(f64, f64)> = classes.collect();
+        let warm_after = settings.warm_after;
+        for engine in self.engines.values_mut() {
+            let started = engine.entry.started_at;
+            if started == Micros(0) || now >= started + warm_after {
+                continue;
+            }
+            let age = (now - engine.entry.started_at).0;
+            let granted = warming.granted(age, engine.cores);
+            let salt = engine.entry.id.0;
+            let phase =
+                |class: usize| cold::phase(me, warming.gateways, mix(salt ^ mix(class as u64)));
+            engine
+                .rights
+                .grow(now.0, granted, &warming, &classes, phase);
+        }
+    }
+}
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -146,3 +146,25 @@
     let (one, line) = (least(false), least(true));
     assert!(line >= 2 * one, "{one} and {line}");
 }
+
+/// Without this each of many gateways held several times its part of the memory while answers came in time; all
+/// together held more than the engines have, which then paged, and loads that can't be called off kept it so.
+#[test]
+fn where_engines_page_a_gateway_keeps_to_half_its_part_of_the_memory() {
+    let sent = |memory_line| {
+        let settings = Settings {
+            memory_line,
+            ..crowd()
+        };
+        let mut bench = Bench::with_engines(settings, 8);
+        let big = |id| Query {
+            memory_mb: 400.0,
+            ..query(id, LIGHT)
+        };
+        (1..=8)
+            .map(|id| sends(&bench.on(Event::Request(big(id)))).len())
+            .sum::<usize>()
+    };
+    // Its part is 2 GB, and a query is taken to need 500 MB.
+    assert_eq!((sent(false), sent(true)), (2, 4));
+}
