Set an engine aside on one stuck attempt only where a gateway's part of it is small

At fault: jammed() and stuck() in src/policy.rs: among three gateways what one attempt says is as often its own trouble (a spoilt answer, a heavy query), and an engine set aside is a third of a gateway's room. Change: both count only where a gateway's part of an engine is under one query; else pace and notes as before. Test: one_of_few_gateways_sets_no_engine_aside_for_one_stuck_attempt fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -599,8 +599,12 @@
     }
 
     /// An attempt hardly moves, as its note tells or as it says nothing: its engine is jammed. It may tell of
-    /// little load for that, since what waits for its disks takes no cores.
+    /// little load for that, since what waits for its disks takes no cores. One of few gateways sees an engine
+    /// often enough to go by its pace, and what one attempt says is as often the attempt's own trouble.
     fn jammed(&mut self, id: EngineId) -> Option<()> {
+        if !self.small_part {
+            return None;
+        }
         let draw = self.draw(id.0 ^ self.now.0);
         let engine = self.engines.get_mut(&id)?;
         if engine.health.jammed(self.now.0, self.rests, draw) {
@@ -983,7 +987,7 @@
         let fresh = fresh.map_or(f64::MAX, |(ratio, work)| work * (ratio + slow).exp());
         let spent = (self.now - attempt.sent_at).0 as f64;
         let (longest, due) = (JAMMED * fresh, self.settings.note_every.0 as f64 / 4.0);
-        due > 0.0 && spent > due && spent / done.max(0.001) > longest
+        self.small_part && due > 0.0 && spent > due && spent / done.max(0.001) > longest
     }
 
     /// Calls an attempt off so that another takes its place, where the class and the limits allow.
--- a/tests/jams.rs
+++ b/tests/jams.rs
@@ -109,3 +109,17 @@
     assert!(counts[0] > 3 && counts[3] == 0, "{counts:?}");
     assert!((1..=3).contains(&counts[2]), "{counts:?}");
 }
+
+/// Without this one stuck attempt took an engine from one of three gateways, and a third of its room with it.
+#[test]
+fn one_of_few_gateways_sets_no_engine_aside_for_one_stuck_attempt() {
+    let few = Settings {
+        gateways: 3,
+        ..crowd()
+    };
+    let mut bench = experienced(few);
+    bench.request(1, LIGHT);
+    bench.now = bench.now + ms(700);
+    let hardly = Event::Note(RequestId(1), AttemptNo(0), Note::Progress(0.01));
+    assert_eq!(bench.on(hardly), vec![]);
+}
