--- a/src/policy.rs
+++ b/src/policy.rs
@@ -599,8 +599,8 @@
     }
 
     /// An attempt hardly moves, as its note tells or as it says nothing: its engine is jammed. It may tell of
-    /// little load for that, since what waits for its disks takes no cores. One of few gateways sees an engine
-    /// often enough to go by its pace, and what one attempt says is as often the attempt's own trouble.
+    /// little load for that, since what waits for its disks takes no cores. One of few gateways sees an
+    /// engine often enough to go by its pace, and what one attempt says is as often its own trouble.
     fn jammed(&mut self, id: EngineId) -> Option<()> {
         if !self.small_part {
             return None;
