--- a/fleet/src/health.rs
+++ b/fleet/src/health.rs
@@ -124,7 +124,7 @@
         for (gateways, cores) in [(3.0, 12.0), (30.0, 12.0), (100.0, 12.0), (100.0, 4.0)] {
             let rests = Rests::new(gateways, cores, 0.1, true);
             let trials = gateways * 0.1 / (rests.jammed as f64 / 1e6);
-            assert!(trials <= cores * TRIAL_SHARE * 1.01 || gateways > 90.0 * cores / 12.0);
+            assert!(trials <= cores * TRIAL_SHARE * 1.01, "{gateways} {cores}");
         }
     }
 
