Say once when an engine is cold, build its rights only then, and call a guess a guess

Cause: a rereading. warm() had its own copy of is_cold, and built its lists by class at every batch though nothing was cold; a comment in fleet/src/asking.rs called a value measured of which no other was tried. Change: EngineView::is_cold serves both, warm() ends at once where none is cold, and the comment says what is known. Behaviour is as before.

--- a/fleet/src/asking.rs
+++ b/fleet/src/asking.rs
@@ -1,7 +1,7 @@
 //! How many engines a query may ask for their load, by what asking costs.
 
-/// What asking one engine more brings, as a share of the request's worth. Measured: with engines seldom heard
-/// of, the second and third asked bring no more than the first.
+/// What asking one engine more is taken to bring, as a share of the request's worth: a guess, of which no
+/// other value was tried.
 const GAIN: f64 = 0.02;
 /// Engines asked at once at the most.
 const MOST: usize = 3;
--- a/src/state.rs
+++ b/src/state.rs
@@ -134,6 +134,12 @@
         self.entry.state == EngineState::Ready
     }
 
+    /// It has started so lately that it is not warm yet.
+    pub fn is_cold(&self, now: Micros, warm_after: Micros) -> bool {
+        let started = self.entry.started_at;
+        started > Micros(0) && now < started + warm_after
+    }
+
     /// Threads out of this part and of its siblings.
     pub fn all_threads(&self) -> f64 {
         self.threads_out + self.elsewhere.out.threads
--- a/src/warming.rs
+++ b/src/warming.rs
@@ -17,8 +17,7 @@
 
     /// Whether the engine has started so lately that it is not warm yet.
     pub(crate) fn is_cold(&self, engine: &EngineView, now: Micros) -> bool {
-        let started = engine.entry.started_at;
-        started > Micros(0) && now < started + self.settings.warm_after
+        engine.is_cold(now, self.settings.warm_after)
     }
 
     /// This gateway's part of what a cold engine bears is under one query, and there are no shards to share it.
@@ -46,7 +45,8 @@
 
     /// Lets the rights on cold engines grow.
     pub(crate) fn warm(&mut self) {
-        if !self.by_rights() {
+        let any = || self.engines.values().any(|e| self.is_cold(e, self.now));
+        if !self.by_rights() || !any() {
             return;
         }
         let (now, settings) = (self.now, &self.settings);
@@ -60,11 +60,8 @@
         let classes = asked.iter().map(|part| part / all).zip(works);
         let classes: Vec<(f64, f64)> = classes.collect();
         let warm_after = settings.warm_after;
-        for engine in self.engines.values_mut() {
-            let started = engine.entry.started_at;
-            if started == Micros(0) || now >= started + warm_after {
-                continue;
-            }
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|engine| engine.is_cold(now, warm_after)) {
             let age = (now - engine.entry.started_at).0;
             let granted = warming.granted(age, engine.cores);
             let salt = engine.entry.id.0;
