--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -16,6 +16,7 @@
     Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, ListKind,
     Micros, Outcome, Query, RequestId, Settings, TimerId,
 };
+use sedgebeam_operation::{Figures, figures};
 use sedgebeam_port::clock::{Clock, duration, span};
 use sedgebeam_port::{
     Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
@@ -66,6 +67,9 @@
     /// Engines that the administration has drained, whatever the list says.
     drained: BTreeSet<String>,
     counters: Tally,
+    figures: Figures,
+    /// What it has last told the figures of its engines.
+    told: figures::Engines,
     /// Events that the gateway has not been told yet.
     events: Vec<Event>,
     /// Requests that are over and have nothing out, once the gateway knows.
@@ -84,6 +88,7 @@
     pub most_open: usize,
     pub seed: u64,
     pub clock: Clock,
+    pub figures: Figures,
     /// Starts the actors of engines.
     pub world: Arc<dyn Engines>,
     /// Where this is one shard of several.
@@ -114,6 +119,8 @@
         engines: BTreeMap::new(),
         drained: BTreeSet::new(),
         counters: Tally::default(),
+        figures: setup.figures,
+        told: figures::Engines::default(),
         events: Vec::new(),
         over: Vec::new(),
         due: BTreeMap::new(),
@@ -218,6 +225,21 @@
                 part.release(id);
             }
         }
+        self.tell_engines();
+    }
+
+    /// Tells the figures what is believed of the engines, where that has changed.
+    fn tell_engines(&mut self) {
+        let avoided = self.gateway.avoided().into_iter();
+        let engines = figures::Engines {
+            discovered: self.engines.len(),
+            avoided: avoided.map(|(id, until)| (id.0, until.0)).collect(),
+        };
+        if engines != self.told {
+            let shard = self.part.as_ref().map_or(0, Part::shard);
+            self.figures.engines(shard, engines.clone());
+            self.told = engines;
+        }
     }
 
     /// What the gateway says, and whether it may be carried out: as one shard of several it decides on room
--- a/broker/src/parts.rs
+++ b/broker/src/parts.rs
@@ -94,6 +94,10 @@
         }
     }
 
+    pub fn shard(&self) -> usize {
+        self.shard.0
+    }
+
     pub fn borrow(&self, now: Micros, wish: &Wish, open: usize) -> Loan {
         lock(&self.shared.ledger).borrow(self.shard, now, wish, open)
     }
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -34,6 +34,7 @@
         most_open: 100,
         seed: 1,
         clock: Clock::start(),
+        figures: Figures::default(),
         world: Arc::new(NoWorld),
         part: None,
     }
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -38,6 +38,10 @@
     pub listen: SocketAddr,
     pub flight: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
+    /// Where operators call.
+    pub control: Option<SocketAddr>,
+    /// The descriptor of the clients' socket, where the platform holds it.
+    pub passed: Option<i32>,
     pub changelog: Option<SocketAddr>,
     pub known: Known,
     pub seed: u64,
@@ -90,6 +94,8 @@
     pub name: Option<String>,
     pub listen: Option<String>,
     pub config: Option<String>,
+    pub control: Option<String>,
+    pub passed: Option<String>,
 }
 
 impl Environment {
@@ -99,6 +105,8 @@
             name: value("PROXY_NAME"),
             listen: value("PROXY_LISTEN"),
             config: value("PROXY_CONFIG"),
+            control: value("PROXY_CONTROL"),
+            passed: value("PROXY_PASSED_SOCKET"),
         }
     }
 }
@@ -111,6 +119,7 @@
     listen: Option<String>,
     seed: Option<String>,
     limits: Option<Limits>,
+    control: Option<String>,
     changelog: Option<String>,
     known: Option<RawKnown>,
     settings: Option<Facts>,
@@ -238,6 +247,18 @@
     address(key, listen.as_deref())
 }
 
+/// A descriptor beyond those of standard input, output and error.
+fn passed(text: Option<&str>) -> Result<Option<i32>, Wrong> {
+    let parse = |text: &str| match text.parse() {
+        Ok(descriptor) if descriptor > 2 => Ok(descriptor),
+        _ => Err(wrong(
+            "PROXY_PASSED_SOCKET",
+            format!("{text:?} is no descriptor"),
+        )),
+    };
+    text.map(parse).transpose()
+}
+
 fn seed(text: Option<&str>) -> Result<u64, Wrong> {
     let Some(text) = text else { return Ok(0) };
     u64::from_str_radix(text, 16).map_err(|_| wrong("seed", format!("{text:?} is not hexadecimal")))
@@ -303,6 +324,11 @@
         .clone()
         .or(platform.listen)
         .or(fallback.listen);
+    let control = environment
+        .control
+        .clone()
+        .or(platform.control)
+        .or(fallback.control);
     let changelog = platform.changelog.or(fallback.changelog);
     let facts = platform.settings.or(fallback.settings);
     let facts = facts.ok_or_else(|| wrong("settings", "missing"))?;
@@ -324,6 +350,8 @@
         listen: address("listen", listen.as_deref())?.ok_or_else(|| wrong("listen", "missing"))?,
         flight: listener("flight.listen", own.flight)?,
         admin: listener("admin.listen", own.admin)?,
+        control: address("control", control.as_deref())?,
+        passed: passed(environment.passed.as_deref())?,
         changelog: address("changelog", changelog.as_deref())?,
         known,
         seed: seed(seeded.as_deref())?,
--- a/dispatcher/src/crew.rs
+++ b/dispatcher/src/crew.rs
@@ -11,8 +11,9 @@
 use sedgebeam_broker::{self as broker, Setup};
 use sedgebeam_core::Effect;
 use sedgebeam_leases::placement::{self, Load};
+use sedgebeam_operation::Figures;
 use sedgebeam_port::clock::{Clock, duration};
-use sedgebeam_port::{Desk, Engines, Losses, supervise};
+use sedgebeam_port::{Class, Desk, Engines, Terms, supervise};
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
@@ -73,19 +74,29 @@
 
 impl Crew {
     /// Starts the brokers, on threads of their own where there are several workers.
-    pub async fn start(config: &Config, world: Arc<dyn Engines>) -> io::Result<Crew> {
-        let repeatable = |class: &sedgebeam_core::Class| class.effect == Effect::Repeatable;
-        let losses = Losses {
-            repeatable: config.settings.classes.iter().map(repeatable).collect(),
+    pub async fn start(
+        config: &Config,
+        world: Arc<dyn Engines>,
+        figures: &Figures,
+        clock: Clock,
+    ) -> io::Result<Crew> {
+        let class = |class: &sedgebeam_core::Class| Class {
+            name: class.name.as_str().into(),
+            repeatable: class.effect == Effect::Repeatable,
+        };
+        let terms = Terms {
+            classes: config.settings.classes.iter().map(class).collect(),
             retry_after: duration(config.settings.max_retry_after),
+            figures: figures.clone(),
         };
-        let desk = Desk::new(config.shards, config.seed, losses);
+        let desk = Desk::new(config.shards, config.seed, terms);
         let setup = Setup {
             settings: config.settings.clone(),
             names: config.names.clone(),
             most_open: config.connections.max_open,
             seed: config.seed,
-            clock: Clock::start(),
+            clock,
+            figures: figures.clone(),
             world,
             part: None,
         };
--- /dev/null
+++ b/dispatcher/src/door.rs
@@ -0,0 +1,161 @@
+//! The door for operators: one line from each caller, and its answer.
+//!
+//! It has a thread of its own and reads what is published, so that no call waits for the brokers or behind
+//! requests. Callers that connect and finish nothing hold a bounded number of places for a bounded time.
+
+use crate::duty::Duty;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use sedgebeam_operation::call::{Call, MOST_LINE};
+use sedgebeam_operation::{Drain, Figures};
+use sedgebeam_port::clock::Clock;
+use std::collections::VecDeque;
+use std::io;
+use std::net::{SocketAddr, TcpListener as Bound};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Callers at once; beyond it whoever has been here for longest without a whole line gives way.
+const MOST_CALLERS: usize = 32;
+/// A caller has so long for its line and for taking its answer.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// What a caller still says when it has its answer is read for so long, and so much of it: closing on bytes
+/// that nobody has read would take the answer away from it.
+const FAREWELL: Duration = Duration::from_millis(500);
+const MOST_FAREWELL: u64 = 64 * 1024;
+/// A pause after an accept that failed, so that a lack of descriptors does not spin.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What the door answers from.
+#[derive(Clone)]
+pub struct Desk {
+    pub duty: Duty,
+    pub figures: Figures,
+    pub clock: Clock,
+}
+
+/// Opens the door, on a thread of its own.
+pub fn open(address: SocketAddr, desk: Desk) -> io::Result<SocketAddr> {
+    let listener = Bound::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let run = move || {
+        let kept = runtime.block_on(async { tokio::spawn(keep(listener, desk)).await });
+        // Without a door the front would take the dispatcher for dead, and nobody would know why.
+        log::error!("the door died: {kept:?}");
+        std::process::exit(1);
+    };
+    std::thread::Builder::new()
+        .name("door".to_string())
+        .spawn(run)?;
+    Ok(address)
+}
+
+/// Serves callers for ever.
+async fn keep(listener: Bound, desk: Desk) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    let mut callers = FuturesUnordered::new();
+    let mut waiting: VecDeque<CancellationToken> = VecDeque::new();
+    loop {
+        tokio::select! {
+            biased;
+            Some(()) = callers.next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    waiting.retain(|caller| !caller.is_cancelled());
+                    if waiting.len() >= MOST_CALLERS && let Some(longest) = waiting.pop_front() {
+                        longest.cancel();
+                    }
+                    let place = CancellationToken::new();
+                    waiting.push_back(place.clone());
+                    callers.push(caller(stream, desk.clone(), place));
+                }
+                Err(error) => {
+                    log::warn!("the door: {error}");
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// One caller, until it has its answer, its time is over or it gives way.
+async fn caller(mut stream: TcpStream, desk: Desk, place: CancellationToken) {
+    let asked = tokio::select! {
+        biased;
+        asked = timeout(CALL_LIMIT, line(&mut stream)) => asked,
+        () = place.cancelled() => return,
+    };
+    // It waits for nobody any more, and so gives way to nobody.
+    place.cancel();
+    let answered = match asked {
+        Ok(Ok(Some(line))) => answer(&mut stream, &desk, &line).await,
+        Ok(Ok(None)) => return,
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "no whole line in time",
+        )),
+    };
+    if let Err(error) = answered {
+        log::debug!("a caller at the door: {error}");
+    }
+}
+
+/// The line of a caller; `None` where it ended without a word.
+async fn line(stream: &mut TcpStream) -> io::Result<Option<Vec<u8>>> {
+    let mut line = Vec::new();
+    let mut bytes = [0; MOST_LINE];
+    loop {
+        let room = bytes.len() - line.len();
+        let count = stream.read(&mut bytes[..room]).await?;
+        line.extend_from_slice(&bytes[..count]);
+        if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
+            line.truncate(end);
+            return Ok(Some(line));
+        }
+        // A caller that ends its side has said all that it will.
+        if count == 0 || line.len() >= MOST_LINE {
+            return Ok(Some(line).filter(|line| !line.is_empty()));
+        }
+    }
+}
+
+async fn answer(stream: &mut TcpStream, desk: &Desk, line: &[u8]) -> io::Result<()> {
+    let told = told(desk, line);
+    timeout(CALL_LIMIT, stream.write_all(told.as_bytes())).await??;
+    stream.shutdown().await?;
+    let mut rest = stream.take(MOST_FAREWELL);
+    let mut sink = tokio::io::sink();
+    // Whether it is read to its end matters no more.
+    let _ = timeout(FAREWELL, tokio::io::copy(&mut rest, &mut sink)).await;
+    Ok(())
+}
+
+fn told(desk: &Desk, line: &[u8]) -> String {
+    match Call::read(line) {
+        Some(Call::Ping) if desk.duty.orders().ready => "200 ready\n".to_string(),
+        Some(Call::Ping) => "400 not ready\n".to_string(),
+        Some(Call::Info) => match desk.figures.text(desk.clock.micros(Instant::now()).0) {
+            Ok(text) => format!("200 figures\n{text}"),
+            Err(error) => format!("400 {error}\n"),
+        },
+        Some(Call::LameDuck) => {
+            log::info!("lame duck: clients are sent away");
+            desk.duty.change(Drain::lame_duck);
+            "200 draining\n".to_string()
+        }
+        Some(Call::Rejoin) if desk.duty.change(|drain, _| drain.rejoin()) => {
+            log::info!("rejoined: clients are taken");
+            "200 serving\n".to_string()
+        }
+        Some(Call::Rejoin) => "400 the process is ending\n".to_string(),
+        None => "400 no such call\n".to_string(),
+    }
+}
--- /dev/null
+++ b/dispatcher/src/duty.rs
@@ -0,0 +1,81 @@
+//! The drain's state where all parts of the program see it: changed by calls and signals, and by time.
+
+use sedgebeam_fronts::leave::Staying;
+use sedgebeam_operation::{Drain, Orders};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+/// Handles on one state.
+#[derive(Clone)]
+pub struct Duty {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    drain: Mutex<Drain>,
+    orders: watch::Sender<Orders>,
+    began: Instant,
+}
+
+impl Duty {
+    /// `passed` where the platform holds the clients' socket.
+    pub fn new(passed: bool) -> Duty {
+        let drain = Drain::new(passed);
+        let (orders, _) = watch::channel(drain.orders(Duration::ZERO));
+        let shared = Shared {
+            drain: Mutex::new(drain),
+            orders,
+            began: Instant::now(),
+        };
+        Duty {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Changes the state, and tells those who wait for other orders.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Drain, Duration) -> T) -> T {
+        // Nothing panics while it is held; what it holds would be whole all the same.
+        let mut drain = self
+            .shared
+            .drain
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let now = self.shared.began.elapsed();
+        let told = change(&mut drain, now);
+        let orders = drain.orders(now);
+        // Under the lock, so that no older orders come behind newer ones.
+        self.shared
+            .orders
+            .send_if_modified(|known| std::mem::replace(known, orders) != orders);
+        told
+    }
+
+    /// What holds now, whether or not the time for it has been told yet.
+    pub fn orders(&self) -> Orders {
+        self.change(|drain, now| drain.orders(now))
+    }
+
+    pub fn subscribe(&self) -> watch::Receiver<Orders> {
+        self.shared.orders.subscribe()
+    }
+
+    pub fn staying(&self) -> Staying {
+        Staying::new(self.subscribe(), self.shared.began)
+    }
+
+    /// Tells of what changes with time, for ever.
+    pub async fn keep_time(self) {
+        let mut orders = self.subscribe();
+        loop {
+            let next = self.change(|drain, now| drain.next_change(now));
+            let at = next.map(|next| self.shared.began + next);
+            tokio::select! {
+                // This holds a sender: the channel stays open.
+                _ = orders.changed() => {}
+                () = sleep_until(at.unwrap_or(self.shared.began)), if at.is_some() => {}
+            }
+        }
+    }
+}
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod admin;
 pub mod config;
 pub mod crew;
+pub mod door;
+pub mod duty;
 pub mod import;
+pub mod passed;
 pub mod reload;
 pub mod roster;
 pub mod serve;
--- a/dispatcher/src/reload.rs
+++ b/dispatcher/src/reload.rs
@@ -1,6 +1,7 @@
 //! New configurations while the program runs: SIGHUP has the files read again.
 
 use crate::config::{self, Config, Environment, Wrong};
+use sedgebeam_operation::Figures;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -9,8 +10,9 @@
 use tokio::time::sleep;
 
 /// A file that is bad may be half written still: it is read again so often, at this distance.
-const TRIES: u32 = 8;
-const BETWEEN: Duration = Duration::from_millis(250);
+const TRIES: u32 = 4;
+/// What is counted of it must show within half a second.
+const BETWEEN: Duration = Duration::from_millis(100);
 
 /// Where the configuration is read from, now and later.
 pub struct Source {
@@ -30,21 +32,35 @@
     mut hangup: Signal,
     source: Source,
     changelog: watch::Sender<Option<SocketAddr>>,
+    figures: Figures,
 ) {
     while hangup.recv().await.is_some() {
-        for attempt in 1..=TRIES {
+        let mut attempt = 1;
+        loop {
             match source.load() {
                 Ok(config) => {
                     take(config, &changelog);
+                    figures.reloaded(true);
                     break;
                 }
                 Err(wrong) => {
                     log::warn!("the running configuration is kept ({attempt} of {TRIES}): {wrong}");
                 }
             }
+            if attempt == TRIES {
+                figures.reloaded(false);
+                break;
+            }
+            attempt += 1;
             tokio::select! {
                 // The next hangup reads a newer file; this one is not waited for any longer.
-                again = hangup.recv() => if again.is_none() { return },
+                again = hangup.recv() => {
+                    if again.is_none() {
+                        return;
+                    }
+                    figures.reloaded(false);
+                    attempt = 1;
+                }
                 () = sleep(BETWEEN) => {}
             }
         }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -3,12 +3,18 @@
 use crate::admin;
 use crate::config::Config;
 use crate::crew::Crew;
+use crate::door;
+use crate::duty::Duty;
+use crate::passed;
 use crate::reload::{self, Source};
 use crate::roster;
 use futures::StreamExt;
 use sedgebeam_engines::Wires;
+use sedgebeam_fronts::leave::Staying;
 use sedgebeam_fronts::places::Places;
 use sedgebeam_fronts::{Shared, flight, incoming, pg};
+use sedgebeam_operation::{Drain, Figures, Newcomers, Orders};
+use sedgebeam_port::clock::Clock;
 use sedgebeam_port::{Listing, SessionKey, supervise};
 use std::io;
 use std::sync::Arc;
@@ -17,10 +23,8 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
-/// For so long after SIGTERM connections and requests go on coming, with some to spare.
-const LAST_CALL: Duration = Duration::from_millis(700);
 /// Flight SQL clients at once.
 const FLIGHT_CONNECTIONS: usize = 96;
 /// Calls that one Flight SQL client may have under way.
@@ -55,10 +59,27 @@
         mut terminate,
         mut interrupt,
     } = signals;
+    let (duty, figures) = (Duty::new(config.passed.is_some()), Figures::default());
+    let clock = Clock::start();
+    for class in &config.names.classes {
+        figures.class(class);
+    }
+    if let Some(address) = config.control {
+        let desk = door::Desk {
+            duty: duty.clone(),
+            figures: figures.clone(),
+            clock,
+        };
+        let address = door::open(address, desk)?;
+        log::info!("{} takes calls of operators on {address}", config.name);
+    }
+    supervise::vital("the drain", duty.clone().keep_time());
     let world = Wires {
         connections: config.connections,
+        figures: figures.clone(),
     };
-    let crew = Arc::new(Crew::start(&config, Arc::new(world)).await?);
+    let crew = Crew::start(&config, Arc::new(world), &figures, clock).await?;
+    let crew = Arc::new(crew);
     let desk = crew.desk.clone();
     let saved = roster::fold(config.known.changes.clone());
     let told = desk.list(Listing::Saved, saved).await;
@@ -66,13 +87,13 @@
     let (changelog, address) = watch::channel(config.changelog);
     let follow = roster::follow(address, config.known.seq, desk.clone());
     supervise::vital("the change log", follow);
-    let reloading = reload::at_hangup(hangup, source, changelog);
+    let reloading = reload::at_hangup(hangup, source, changelog, figures);
     supervise::vital("reloading", reloading);
     let shared = Shared {
         desk,
         names: Arc::new(config.names.clone()),
     };
-    let (end, ending) = watch::channel(false);
+    let (end, _) = watch::channel(false);
     // Every session holds a sender; when the last is dropped, all have ended.
     let (alive, mut all_ended) = mpsc::channel::<()>(1);
     if let Some(address) = config.flight {
@@ -95,7 +116,10 @@
         let serving = admin::serve(listener, shared.desk.clone(), end.subscribe());
         supervise::vital("the administration", serving);
     }
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = match config.passed {
+        Some(descriptor) => TcpListener::from_std(passed::listener(descriptor)?)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
     log::info!(
         "{} serves PostgreSQL clients on {}",
         config.name,
@@ -104,20 +128,22 @@
     let sessions = Sessions {
         crew,
         shared,
-        ending,
+        staying: duty.staying(),
         alive,
         places: Places::new(config.sessions),
         message: config.message,
         next: config.seed,
     };
-    let accepting = supervise::vital("accepting", sessions.accept(listener, end.subscribe()));
+    let accepting = supervise::vital("accepting", sessions.accept(listener, duty.subscribe()));
+    duty.change(|drain, _| drain.prepared());
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     log::info!("ending: last call");
-    sleep_until(Instant::now() + LAST_CALL).await;
-    // Accepting has ended by itself once this is sent; sessions end when they are idle.
+    duty.change(Drain::end);
+    // Accepting ends by itself then; sessions end when they are idle. The sender is held above.
+    let _ = duty.subscribe().wait_for(|orders| orders.over).await;
     let _ = end.send(true);
     let _ = accepting.await;
     while all_ended.recv().await.is_some() {}
@@ -201,7 +227,7 @@
 struct Sessions {
     crew: Arc<Crew>,
     shared: Shared,
-    ending: watch::Receiver<bool>,
+    staying: Staying,
     alive: mpsc::Sender<()>,
     places: Places,
     message: usize,
@@ -209,14 +235,26 @@
 }
 
 impl Sessions {
-    async fn accept(mut self, listener: TcpListener, mut end: watch::Receiver<bool>) {
+    async fn accept(mut self, listener: TcpListener, mut orders: watch::Receiver<Orders>) {
         loop {
+            let Orders {
+                newcomers, over, ..
+            } = *orders.borrow_and_update();
+            if over {
+                return;
+            }
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
-                _ = end.wait_for(|end| *end) => return,
+                changed = orders.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return,
+                },
+                accepted = listener.accept(), if newcomers != Newcomers::Left => accepted,
             };
             match accepted {
+                Ok((stream, _)) if newcomers == Newcomers::TurnedAway => {
+                    pg::turn_away(&stream, pg::Away::Draining);
+                }
                 Ok((stream, _)) => self.start(stream).await,
                 Err(error) => {
                     log::warn!("accepting: {error}");
@@ -229,7 +267,7 @@
     async fn start(&mut self, stream: TcpStream) {
         let Some((place, gave_way)) = self.places.take() else {
             log::debug!("all sessions are busy: a connection is turned away");
-            pg::turn_away(&stream);
+            pg::turn_away(&stream, pg::Away::NoPlace);
             return;
         };
         if gave_way {
@@ -242,7 +280,10 @@
         }
         self.next = self.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let (shared, key) = (self.shared.clone(), SessionKey(self.next));
-        let (ending, message) = (self.ending.clone(), self.message);
+        let leave = self
+            .staying
+            .newcomer(sedgebeam_core::mix(key.0) as f64 / u64::MAX as f64);
+        let message = self.message;
         let alive = self.alive.clone();
         let (several, (_, worker)) = (self.crew.is_several(), self.crew.place());
         let counted = worker.count();
@@ -254,7 +295,7 @@
                 Ok(stream)
             };
             match stream {
-                Ok(stream) => pg::serve(stream, shared, key, ending, place, message).await,
+                Ok(stream) => pg::serve(stream, shared, key, leave, place, message).await,
                 Err(error) => log::warn!("a session is not handed over: {error}"),
             }
             drop((alive, counted));
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
 use sedgebeam_engines::Wires;
+use sedgebeam_operation::Figures;
 use sedgebeam_port::{
     Attempt, End, EngineBox, Engines, Page, Probe, Report, Reports, Target, ToBroker, ToEngine,
 };
@@ -37,7 +38,11 @@
         endpoint,
         ..Target::default()
     };
-    let actor = Wires { connections }.start(&target, Reports::new(EngineId(1), broker));
+    let wires = Wires {
+        connections,
+        figures: Figures::default(),
+    };
+    let actor = wires.start(&target, Reports::new(EngineId(1), broker));
     Bench {
         engine,
         actor,
--- a/dispatcher/tests/scenarios/main.rs
+++ b/dispatcher/tests/scenarios/main.rs
@@ -7,6 +7,7 @@
 mod flight_engine;
 mod fronts;
 mod life;
+mod operation;
 mod pg_client;
 mod stage;
 mod wire;
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -5,8 +5,9 @@
 //! What a peer hears is queued for it, so nothing depends on how fast anything is. Peers are made by
 //! their names: `c1` a PostgreSQL client, `f1` a Flight SQL client, `e1` an engine that speaks RESP,
 //! `g1` one that speaks Flight SQL, `m1` one that
-//! takes connections and says nothing, `adm` the administration, `log` the change log, `tcp` bare bytes (`tf` and `ta` to
-//! the Flight SQL front and the administration); `app` is the
+//! takes connections and says nothing, `op` an operator at the door (`send INFO WORD` hears the figures whose
+//! names begin so), `adm` the administration, `log` the change log, `tcp` bare bytes (`tf` and `ta` to
+//! the Flight SQL front and the administration, `to` to the door); `app` is the
 //! program: `send reload LOG` and `send half` replace its file and tell it, `close` ends it in order.
 
 use crate::{engines, flight_client, flight_engine, pg_client};
@@ -135,7 +136,7 @@
             targets.join(",")
         );
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":64}},
+            r#"{{"name":"n0","listen":"127.0.0.1:0","control":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":64}},
                "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}"#
         );
         let own = format!(
@@ -173,6 +174,8 @@
             folder,
             config,
         };
+        let door = stage.logged("takes calls of operators on ");
+        stage.addresses.insert("o", door);
         let flight = stage.logged("serves Flight SQL clients on ");
         stage.addresses.insert("f", flight);
         let admin = stage.logged("is administered on ");
@@ -248,9 +251,10 @@
         match &who[..1] {
             "c" => drop(self.runtime.spawn(pg_client::run(address("c"), role))),
             "f" => drop(self.runtime.spawn(flight_client::run(address("f"), role))),
+            "o" => drop(self.runtime.spawn(operator(address("o"), role))),
             "a" => drop(self.runtime.spawn(administrator(address("a"), role))),
             "t" => {
-                let kind = ["f", "a"]
+                let kind = ["f", "a", "o"]
                     .into_iter()
                     .find(|kind| who[1..].starts_with(kind));
                 drop(self.runtime.spawn(bare(address(kind.unwrap_or("c")), role)));
@@ -378,6 +382,24 @@
     }
 }
 
+/// Calls at the door, each on a connection of its own; hears the first line, and the figures asked for.
+async fn operator(address: String, mut role: Role) {
+    while let Some(words) = role.say.recv().await {
+        let (call, wanted) = words.split_once(' ').unwrap_or((&words, "-"));
+        let mut stream = TcpStream::connect(&address).await.expect("connects");
+        let line = format!("{call}\n");
+        stream.write_all(line.as_bytes()).await.expect("writes");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("reads");
+        let mut lines = answer.lines();
+        let first = lines.next().unwrap_or("no answer");
+        let _ = role.heard.send(first.to_string());
+        for line in lines.filter(|line| line.starts_with(wanted)) {
+            let _ = role.heard.send(line.to_string());
+        }
+    }
+}
+
 /// Bytes as they are: `send` takes hexadecimal; what comes back is told in it.
 async fn bare(address: String, mut role: Role) {
     let stream = TcpStream::connect(address).await.expect("connects");
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -4,6 +4,8 @@
 use sedgebeam::config::{self, Config, Environment};
 use sedgebeam::crew::Crew;
 use sedgebeam_core::{AttemptNo, ClassId, GroupId, Micros, RequestId};
+use sedgebeam_operation::Figures;
+use sedgebeam_port::clock::Clock;
 use sedgebeam_port::{
     Answer, Asked, Attempt, Denied, End, EngineBox, Engines, Failure, Listing, NewRequest, Page,
     Pending, Reports, Target, ToEngine, Told,
@@ -222,7 +224,11 @@
 impl Bench {
     async fn new() -> Bench {
         let (world, hears) = World::new();
-        let crew = Crew::start(&config(), world.clone()).await.expect("starts");
+        let crew = {
+            let (figures, clock) = (Figures::default(), Clock::start());
+            Crew::start(&config(), world.clone(), &figures, clock).await
+        }
+        .expect("starts");
         let list = vec![target("e-1")];
         crew.desk
             .list(Listing::Complete, list)
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -4,6 +4,7 @@
 //! where the engine does not poll, asked for with GetFlightInfo; then its ticket is redeemed with DoGet.
 //! That it never ran is believed only of an error that says so in [`NOT_RUN`].
 
+use crate::Wires;
 use arrow_flight::decode::FlightRecordBatchStream;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
@@ -13,9 +14,9 @@
 use prost::Message;
 use sedgebeam_arrow as arrow;
 use sedgebeam_core::{AttemptNo, Load, Micros, Note, RequestId};
+use sedgebeam_operation::Figures;
 use sedgebeam_port::clock::duration;
 use sedgebeam_port::{Attempt, End, More, Page, Probe, Report, Reports, ToEngine, supervise};
-use sedgebeam_settings::Connections;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -75,7 +76,7 @@
 
 struct Actor {
     endpoint: String,
-    settings: Connections,
+    wires: Wires,
     reports: Reports,
     over: mpsc::Sender<Over>,
     lanes: HashMap<u64, Lane>,
@@ -86,14 +87,14 @@
 /// Runs until its mailbox is closed.
 pub async fn run(
     endpoint: String,
-    settings: Connections,
+    wires: Wires,
     mut mailbox: mpsc::Receiver<ToEngine>,
     reports: Reports,
 ) {
     let (over, mut incoming) = mpsc::channel(EVENTS);
     let mut actor = Actor {
         endpoint,
-        settings,
+        wires,
         reports,
         over,
         lanes: HashMap::new(),
@@ -169,7 +170,7 @@
     }
 
     fn close_idle(&mut self) {
-        let idle = duration(self.settings.idle);
+        let idle = duration(self.wires.connections.idle);
         let now = Instant::now();
         self.lanes
             .retain(|_, lane| lane.out > 0 || now < lane.used + idle);
@@ -177,17 +178,17 @@
 
     /// The fullest lane with room, or a new one.
     fn lane(&mut self) -> Option<(u64, Opening)> {
-        let most = self.settings.max_streams;
+        let most = self.wires.connections.max_streams;
         let fit = self.lanes.iter_mut().filter(|(_, lane)| lane.out < most);
         if let Some((number, lane)) = fit.max_by_key(|(number, lane)| (lane.out, **number)) {
             lane.out += 1;
             return Some((*number, lane.opening.clone()));
         }
-        if self.lanes.len() >= self.settings.most {
+        if self.lanes.len() >= self.wires.connections.most {
             return None;
         }
         self.next_lane += 1;
-        let limit = duration(self.settings.connect_timeout);
+        let limit = duration(self.wires.connections.connect_timeout);
         let opening = open(self.endpoint.clone(), limit).boxed().shared();
         let lane = Lane {
             opening: opening.clone(),
@@ -223,6 +224,7 @@
             attempt,
             endpoint: self.endpoint.clone(),
             reports: self.reports.clone(),
+            figures: self.wires.figures.clone(),
         };
         let (over, died) = (self.over.clone(), self.over.clone());
         let reports = self.reports.clone();
@@ -281,7 +283,7 @@
         let channel = up.next();
         drop(up);
         let (endpoint, reports) = (self.endpoint.clone(), self.reports.clone());
-        let limit = duration(self.settings.connect_timeout);
+        let limit = duration(self.wires.connections.connect_timeout);
         tokio::spawn(async move {
             let probe = match channel {
                 Some(channel) => stats(channel, limit).await,
@@ -365,6 +367,7 @@
     attempt: Attempt,
     endpoint: String,
     reports: Reports,
+    figures: Figures,
 }
 
 impl Task {
@@ -377,6 +380,7 @@
         };
         match self.result(client(channel)).await {
             Ok((stream, work)) => {
+                self.figures.forwarded(1);
                 self.pages(stream, work, asked).await;
                 false
             }
@@ -384,6 +388,9 @@
                 log::debug!("{}: {status}", self.endpoint);
                 let end = end(&status);
                 let broken = matches!(end, End::Reset | End::ConnectFailed);
+                if end != End::ConnectFailed {
+                    self.figures.forwarded(1);
+                }
                 self.reports.ended(id, number, end).await;
                 broken
             }
--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod flight;
 pub mod resp;
 
+use sedgebeam_operation::Figures;
 use sedgebeam_port::{EngineBox, Engines, Reports, Target, supervise};
 use sedgebeam_settings::Connections;
 use tokio::sync::mpsc;
@@ -14,9 +15,11 @@
 pub const FLIGHT_SCHEME: &str = "grpc://";
 
 /// Engines over the network.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct Wires {
     pub connections: Connections,
+    /// Attempts are counted there once they are written.
+    pub figures: Figures,
 }
 
 impl Engines for Wires {
@@ -28,10 +31,10 @@
             tokio::spawn(async move { last.died().await });
         };
         if endpoint.starts_with(FLIGHT_SCHEME) {
-            let actor = flight::run(endpoint, self.connections, incoming, reports);
+            let actor = flight::run(endpoint, self.clone(), incoming, reports);
             supervise::watch(name, actor, died);
         } else {
-            let actor = resp::run(endpoint, self.connections, incoming, reports);
+            let actor = resp::run(endpoint, self.clone(), incoming, reports);
             supervise::watch(name, actor, died);
         }
         mailbox
--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -3,6 +3,7 @@
 use super::codec::{Command, Reply, Resp};
 use futures::{SinkExt, StreamExt};
 use sedgebeam_core::RequestId;
+use sedgebeam_operation::Figures;
 use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
@@ -55,12 +56,13 @@
         endpoint: String,
         limit: Duration,
         came: mpsc::Sender<(Number, Came)>,
+        figures: Figures,
     ) -> Connection {
         let (mailbox, commands) = mpsc::channel(MAILBOX);
         let (kept, dropped) = oneshot::channel();
         let dead = came.clone();
         let name = format!("connection to {endpoint}");
-        let task = run(number, endpoint, limit, commands, dropped, came);
+        let task = run(number, endpoint, limit, commands, dropped, came, figures);
         sedgebeam_port::supervise::watch(name, task, move || {
             let unwritten = Vec::new();
             tokio::spawn(async move { dead.send((number, Came::Down { unwritten })).await });
@@ -110,6 +112,7 @@
     mut commands: mpsc::Receiver<Command>,
     dropped: oneshot::Receiver<()>,
     came: mpsc::Sender<(Number, Came)>,
+    figures: Figures,
 ) {
     let mut unwritten = Vec::new();
     let serve = serve(
@@ -119,6 +122,7 @@
         &mut commands,
         &came,
         &mut unwritten,
+        &figures,
     );
     let ended = tokio::select! {
         biased;
@@ -149,13 +153,14 @@
     commands: &mut mpsc::Receiver<Command>,
     came: &mpsc::Sender<(Number, Came)>,
     unwritten: &mut Vec<RequestId>,
+    figures: &Figures,
 ) -> io::Result<()> {
     let stream = connect(endpoint, limit).await?;
     // An actor that is gone wants no more word.
     let _ = came.send((number, Came::Up)).await;
     let (read_half, write_half) = stream.into_split();
     tokio::select! {
-        ended = write(write_half, commands, unwritten) => ended,
+        ended = write(write_half, commands, unwritten, figures) => ended,
         ended = read(read_half, number, came) => ended,
     }
 }
@@ -175,6 +180,7 @@
     half: OwnedWriteHalf,
     commands: &mut mpsc::Receiver<Command>,
     unwritten: &mut Vec<RequestId>,
+    figures: &Figures,
 ) -> io::Result<()> {
     let mut sink = FramedWrite::new(half, Resp);
     while let Some(command) = commands.recv().await {
@@ -193,6 +199,7 @@
             }
             return Err(error);
         }
+        figures.forwarded(fetches.len());
     }
     Ok(())
 }
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -4,10 +4,12 @@
 mod codec;
 mod connection;
 
+use crate::Wires;
 use bytes::{Bytes, BytesMut};
 use codec::{About, Command, Reply, Word};
 use connection::{Came, Connection, Number};
 use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
+use sedgebeam_operation::Figures;
 use sedgebeam_port::clock::duration;
 use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
 use sedgebeam_settings::Connections;
@@ -60,6 +62,7 @@
 struct Actor {
     endpoint: String,
     settings: Connections,
+    figures: Figures,
     reports: Reports,
     came: mpsc::Sender<(Number, Came)>,
     connections: HashMap<Number, Connection>,
@@ -72,14 +75,15 @@
 /// Runs until its mailbox is closed and nothing of it is out.
 pub async fn run(
     endpoint: String,
-    settings: Connections,
+    wires: Wires,
     mut mailbox: mpsc::Receiver<ToEngine>,
     reports: Reports,
 ) {
     let (came, mut incoming) = mpsc::channel(MAILBOX);
     let mut actor = Actor {
         endpoint,
-        settings,
+        settings: wires.connections,
+        figures: wires.figures,
         reports,
         came,
         connections: HashMap::new(),
@@ -178,8 +182,8 @@
         self.next_connection += 1;
         let number = Number(self.next_connection);
         let timeout = duration(self.settings.connect_timeout);
-        let connection =
-            Connection::open(number, self.endpoint.clone(), timeout, self.came.clone());
+        let (endpoint, came) = (self.endpoint.clone(), self.came.clone());
+        let connection = Connection::open(number, endpoint, timeout, came, self.figures.clone());
         self.connections.insert(number, connection);
         Some(number)
     }
--- a/fleet/src/health.rs
+++ b/fleet/src/health.rs
@@ -60,10 +60,16 @@
 impl Health {
     /// Set aside, or on trial with the trial still out.
     pub fn rests(&self, now: u64, on_trial: bool) -> bool {
-        now < self.jammed_until
-            || self
-                .rests_until
-                .is_some_and(|until| now < until || on_trial)
+        now < self.rests_until(on_trial)
+    }
+
+    /// Until when it is set aside, if nothing is heard; for as long as its trial is out.
+    pub fn rests_until(&self, on_trial: bool) -> u64 {
+        let rest = match self.rests_until {
+            Some(_) if on_trial => u64::MAX,
+            until => until.unwrap_or(0),
+        };
+        rest.max(self.jammed_until)
     }
 
     /// A word from the engine; true if it ends a rest. A word does not show that a jam is over: what is
--- /dev/null
+++ b/fronts/src/leave.rs
@@ -0,0 +1,63 @@
+//! When a connection that is kept between requests must go.
+
+use sedgebeam_operation::drain::goes_at;
+use sedgebeam_operation::{Kept, Orders};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+/// What the drain orders, for all connections.
+#[derive(Clone)]
+pub struct Staying {
+    orders: watch::Receiver<Orders>,
+    /// The moment since which the drain counts time.
+    began: Instant,
+}
+
+impl Staying {
+    pub fn new(orders: watch::Receiver<Orders>, began: Instant) -> Staying {
+        Staying { orders, began }
+    }
+
+    /// For a connection that comes now; its draw, from 0 to 1, sets it apart from the others.
+    pub fn newcomer(&self, draw: f64) -> Leave {
+        Leave {
+            orders: self.orders.clone(),
+            began: self.began,
+            came: self.began.elapsed(),
+            draw,
+        }
+    }
+}
+
+/// The same for one connection.
+pub struct Leave {
+    orders: watch::Receiver<Orders>,
+    began: Instant,
+    came: Duration,
+    draw: f64,
+}
+
+impl Leave {
+    /// Whether it goes now that it has answered.
+    pub fn after_answer(&self) -> bool {
+        self.orders.borrow().kept != Kept::Stay
+    }
+
+    /// Becomes ready when it goes, idle as it is.
+    pub async fn when_idle(&mut self) {
+        loop {
+            let kept = self.orders.borrow_and_update().kept;
+            let at = match kept {
+                Kept::Go => return,
+                Kept::Leave(since) => Some(self.began + goes_at(self.came, since, self.draw)),
+                Kept::Stay => None,
+            };
+            tokio::select! {
+                // Whoever gave the orders has ended, and all with him.
+                changed = self.orders.changed() => if changed.is_err() { return },
+                () = sleep_until(at.unwrap_or(self.began)), if at.is_some() => return,
+            }
+        }
+    }
+}
--- a/fronts/src/lib.rs
+++ b/fronts/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod flight;
 pub mod incoming;
+pub mod leave;
 pub mod pg;
 pub mod places;
 pub mod statement;
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 
+use super::leave::Leave;
 use super::places::{Place, Standing};
 use super::{Shared, reason, statement};
 use bytes::{Bytes, BytesMut};
@@ -11,7 +12,6 @@
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::{Encoder, Framed};
 
@@ -27,12 +27,12 @@
 
 type Wire = Framed<TcpStream, Pg>;
 
-/// Serves a connection until it ends; `ending` tells that idle sessions should close.
+/// Serves a connection until it ends, or until it must go.
 pub async fn serve(
     stream: TcpStream,
     shared: Shared,
     key: SessionKey,
-    ending: watch::Receiver<bool>,
+    leave: Leave,
     place: Place,
     longest: usize,
 ) {
@@ -41,7 +41,7 @@
         wire: Framed::new(stream, Pg::new(longest)),
         shared,
         key,
-        ending,
+        leave,
         place,
         useless: 0,
         held: None,
@@ -55,11 +55,22 @@
     }
 }
 
-/// Refuses a connection for which there is no place; what does not fit its empty buffer is let go.
-pub fn turn_away(stream: &TcpStream) {
+/// Why a connection is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Away {
+    NoPlace,
+    Draining,
+}
+
+/// Refuses a connection; what does not fit its empty buffer is let go.
+pub fn turn_away(stream: &TcpStream, why: Away) {
+    let (code, message) = match why {
+        Away::NoPlace => ("53300", "there are too many sessions; nothing ran"),
+        Away::Draining => ("57P03", "this dispatcher takes no more work; nothing ran"),
+    };
     let told = Error {
-        code: "53300",
-        message: "there are too many sessions; nothing ran".to_string(),
+        code,
+        message: message.to_string(),
         hint: Some("try again in 1000 ms".to_string()),
     };
     let mut bytes = BytesMut::new();
@@ -75,7 +86,7 @@
     wire: Wire,
     shared: Shared,
     key: SessionKey,
-    ending: watch::Receiver<bool>,
+    leave: Leave,
     place: Place,
     /// Messages of no use in a row.
     useless: u32,
@@ -127,7 +138,7 @@
         Ok(false)
     }
 
-    /// What the client says next; `None` when it has gone, or when the dispatcher is ending.
+    /// What the client says next; `None` when it has gone, or must go.
     async fn listen(&mut self) -> io::Result<Option<Said>> {
         if let Some(said) = self.held.take() {
             return Ok(Some(said));
@@ -143,7 +154,7 @@
                 }
                 said => said,
             },
-            () = ended(&mut self.ending) => Ok(None),
+            () = self.leave.when_idle() => Ok(None),
         }
     }
 
@@ -230,7 +241,7 @@
         }
         self.wire.send(Say::Ready).await?;
         self.useless = 0;
-        Ok(self.place.stand(Standing::Idle))
+        Ok(self.place.stand(Standing::Idle) && !self.leave.after_answer())
     }
 
     /// Waits for the answer and watches the client meanwhile; `None` when it has gone.
@@ -296,12 +307,6 @@
     }
 }
 
-/// Waits until the dispatcher is ending.
-async fn ended(ending: &mut watch::Receiver<bool>) {
-    // A sender that is gone has ended too.
-    let _ = ending.wait_for(|ending| *ending).await;
-}
-
 fn is_empty(text: &[u8]) -> bool {
     let blank = |byte: &u8| byte.is_ascii_whitespace() || *byte == b';';
     text.iter().all(blank)
--- /dev/null
+++ b/operation/src/drain.rs
@@ -0,0 +1,156 @@
+//! The drain: whether the dispatcher is ready, what becomes of new connections, and when kept ones go.
+//!
+//! The platform's front asks every 0.1 s whether the dispatcher is ready. After the first no it goes on
+//! connecting for 0.2 s; kept connections stay in use while they are open. From the fourth second of a lame
+//! duck none may be idle, nor hold a request of the last two seconds. Times are since one fixed moment.
+
+use std::time::Duration;
+
+/// Connections go on coming for so long after LAMEDUCK: 0.1 s until the front asks, 0.2 s more, and until
+/// then nobody is let go, as he would come back here. A sixth more for what is on its way.
+const STILL_COMING: Duration = Duration::from_millis(350);
+/// Until then idle connections have gone, each at a time of its own.
+const ALL_ASKED: Duration = Duration::from_millis(1600);
+/// From then on a new connection is refused: it would find no time for a request.
+const TURNED_AWAY: Duration = Duration::from_millis(1200);
+/// From then on nothing idle is kept: what begins within two seconds before the fourth counts against it.
+const NONE_IDLE: Duration = Duration::from_millis(1700);
+/// A new connection has so long to ask something while others are being let go.
+const NEWCOMER: Duration = Duration::from_millis(250);
+/// After SIGTERM connections and requests go on coming for so long, with some to spare.
+const LAST_CALL: Duration = Duration::from_millis(700);
+
+/// What becomes of a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Newcomers {
+    Taken,
+    /// Refused with a word, and closed.
+    TurnedAway,
+    /// Not accepted: it is for another process, or for nobody.
+    Left,
+}
+
+/// What becomes of a connection that is kept between requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    Stay,
+    /// It goes once it has answered, and when idle at a time of its own ([`goes_at`]); so since then.
+    Leave(Duration),
+    Go,
+}
+
+/// All that follows from the state at one time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Orders {
+    pub ready: bool,
+    pub newcomers: Newcomers,
+    pub kept: Kept,
+    /// The last call is over: the process ends once all that was taken is answered.
+    pub over: bool,
+}
+
+/// The state of a dispatcher as to its clients.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Drain {
+    /// The list and the engines are there.
+    prepared: bool,
+    /// Another process accepts from the same socket, or will.
+    passed: bool,
+    lame_duck: Option<Duration>,
+    ending: Option<Duration>,
+}
+
+impl Drain {
+    /// `passed` where the platform holds the socket: what is not accepted stays for another process.
+    pub fn new(passed: bool) -> Drain {
+        Drain {
+            passed,
+            ..Drain::default()
+        }
+    }
+
+    pub fn prepared(&mut self) {
+        self.prepared = true;
+    }
+
+    /// LAMEDUCK; a second one does not begin the drain anew.
+    pub fn lame_duck(&mut self, now: Duration) {
+        self.lame_duck.get_or_insert(now);
+    }
+
+    /// REJOIN; false where the process is ending, which nothing takes back.
+    pub fn rejoin(&mut self) -> bool {
+        if self.ending.is_none() {
+            self.lame_duck = None;
+        }
+        self.ending.is_none()
+    }
+
+    /// SIGTERM; a second one does not begin the last call anew.
+    pub fn end(&mut self, now: Duration) {
+        self.ending.get_or_insert(now);
+    }
+
+    pub fn orders(&self, now: Duration) -> Orders {
+        let (newcomers, kept) = match (self.ending, self.lame_duck) {
+            (Some(since), lame_duck) => {
+                let over = now >= since + LAST_CALL;
+                let kept = match lame_duck {
+                    _ if over => Kept::Go,
+                    Some(since) => leaving(since, now).1,
+                    None => Kept::Stay,
+                };
+                let newcomers = if self.passed || over {
+                    Newcomers::Left
+                } else {
+                    Newcomers::Taken
+                };
+                (newcomers, kept)
+            }
+            (None, Some(since)) => leaving(since, now),
+            // Who comes before all is there waits to be accepted.
+            (None, None) if !self.prepared => (Newcomers::Left, Kept::Stay),
+            (None, None) => (Newcomers::Taken, Kept::Stay),
+        };
+        let over = self.ending.is_some_and(|since| now >= since + LAST_CALL);
+        let ready = self.prepared && self.ending.is_none() && self.lame_duck.is_none();
+        Orders {
+            ready,
+            newcomers,
+            kept,
+            over,
+        }
+    }
+
+    /// When the orders will be others if nothing happens.
+    pub fn next_change(&self, now: Duration) -> Option<Duration> {
+        let ending = self.ending.map(|since| since + LAST_CALL);
+        let steps = [STILL_COMING, TURNED_AWAY, NONE_IDLE];
+        let lame_duck = steps.map(|step| self.lame_duck.map(|since| since + step));
+        let changes = lame_duck.into_iter().chain([ending]).flatten();
+        changes.filter(|change| *change > now).min()
+    }
+}
+
+fn leaving(since: Duration, now: Duration) -> (Newcomers, Kept) {
+    let newcomers = if now < since + TURNED_AWAY {
+        Newcomers::Taken
+    } else {
+        Newcomers::TurnedAway
+    };
+    let kept = if now < since + STILL_COMING {
+        Kept::Stay
+    } else if now < since + NONE_IDLE {
+        Kept::Leave(since)
+    } else {
+        Kept::Go
+    };
+    (newcomers, kept)
+}
+
+/// When an idle connection that came at this time goes in a lame duck that began at that one; the draw is
+/// from 0 to 1.
+pub fn goes_at(came: Duration, since: Duration, draw: f64) -> Duration {
+    let drawn = STILL_COMING + (ALL_ASKED - STILL_COMING).mul_f64(draw.clamp(0.0, 1.0));
+    (since + drawn).max(came + NEWCOMER).min(since + NONE_IDLE)
+}
--- a/port/src/answer.rs
+++ b/port/src/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::{BrokerBox, EngineBox, More, Page, ToBroker, ToEngine};
 use sedgebeam_core::{AttemptNo, RequestId};
+use sedgebeam_operation::{Disposition, Running};
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -44,6 +45,8 @@
     engine: EngineBox,
     request: RequestId,
     number: AttemptNo,
+    /// Counted once it is whole, or can't be.
+    running: Option<Running>,
 }
 
 /// The rest of a result can't be had.
@@ -66,6 +69,13 @@
             engine,
             request,
             number,
+            running: None,
+        }
+    }
+
+    fn ended(&mut self, how: Disposition) {
+        if let Some(running) = self.running.take() {
+            running.ended(how);
         }
     }
 
@@ -77,11 +87,19 @@
     /// The next page; `None` once the result is whole.
     pub async fn next(&mut self) -> Result<Option<Page>, Broken> {
         if self.whole {
+            // All of it has been taken.
+            self.ended(Disposition::Succeeded);
             return Ok(None);
         }
         let page = match self.first.take() {
             Some(page) => page,
-            None => self.more().await?,
+            None => match self.more().await {
+                Ok(page) => page,
+                Err(Broken) => {
+                    self.ended(Disposition::Aborted);
+                    return Err(Broken);
+                }
+            },
         };
         self.whole = page.last;
         Ok(Some(page))
@@ -126,6 +144,8 @@
     /// What the answer is where the broker dies with the request.
     lost: Option<Answer>,
     answered: bool,
+    /// Counts the request; with a result it goes on to that.
+    running: Option<Running>,
 }
 
 impl Pending {
@@ -134,6 +154,7 @@
         answer: oneshot::Receiver<Answer>,
         broker: Option<BrokerBox>,
         lost: Answer,
+        running: Option<Running>,
     ) -> Pending {
         Pending {
             request,
@@ -141,6 +162,21 @@
             broker,
             lost: Some(lost),
             answered: false,
+            running,
+        }
+    }
+
+    /// Counts how the request has ended; a result ends only once it is whole.
+    fn count(&mut self, answer: &mut Answer) {
+        let Some(running) = self.running.take() else {
+            return;
+        };
+        match answer {
+            Answer::Rows(delivery) => delivery.running = Some(running),
+            Answer::Refused { .. } => running.ended(Disposition::Declined),
+            // Whoever called it off waits for no answer.
+            Answer::Failed(Failure::Cancelled) => drop(running),
+            Answer::Failed(_) => running.ended(Disposition::Aborted),
         }
     }
 }
@@ -154,7 +190,10 @@
             self.answered = true;
             // A sender dropped without an answer: the broker has ended.
             let lost = self.lost.take();
-            answer.unwrap_or_else(|_| lost.unwrap_or(Answer::Failed(Failure::Ending)))
+            let lost = lost.unwrap_or(Answer::Failed(Failure::Ending));
+            let mut answer = answer.unwrap_or(lost);
+            self.count(&mut answer);
+            answer
         })
     }
 }
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -10,6 +10,7 @@
     ToBroker, Told,
 };
 use sedgebeam_core::{RequestId, mix};
+use sedgebeam_operation::Figures;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -23,13 +24,21 @@
 /// What a silent broker would tell is not waited for any longer.
 const TELLS_WITHIN: Duration = Duration::from_millis(500);
 
-/// What clients are told of requests that were with a broker that died, by class.
-#[derive(Clone, Debug, Default)]
-pub struct Losses {
-    /// Whether one may be repeated by anyone; others may have run.
-    pub repeatable: Vec<bool>,
-    /// When it may.
+/// What the desk knows of a class.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: Arc<str>,
+    /// Whether one that was with a broker that died may be repeated by anyone; others may have run.
+    pub repeatable: bool,
+}
+
+/// What is counted at the desk, and what clients are told of requests that were with a broker that died.
+#[derive(Clone, Default)]
+pub struct Terms {
+    pub classes: Vec<Class>,
+    /// When a request that did not run may be repeated.
     pub retry_after: Duration,
+    pub figures: Figures,
 }
 
 struct Slot {
@@ -40,7 +49,7 @@
 
 struct Shared {
     slots: Vec<Slot>,
-    losses: Losses,
+    terms: Terms,
     /// Clients choose their ids: without it one could have all that it asks land on one shard.
     seed: u64,
     began: Instant,
@@ -59,7 +68,7 @@
 
 impl Desk {
     /// A desk before so many brokers, none of which has come yet.
-    pub fn new(shards: usize, seed: u64, losses: Losses) -> Desk {
+    pub fn new(shards: usize, seed: u64, terms: Terms) -> Desk {
         let slot = |_| Slot {
             mailbox: RwLock::new(None),
             beat: AtomicU64::new(0),
@@ -67,7 +76,7 @@
         Desk {
             shared: Arc::new(Shared {
                 slots: (0..shards).map(slot).collect(),
-                losses,
+                terms,
                 seed,
                 began: Instant::now(),
                 standing: Mutex::default(),
@@ -144,9 +153,17 @@
     /// Hands a request over; the answer is waited for on what this returns.
     pub async fn submit(&self, request: NewRequest) -> Pending {
         let (reply, answer) = oneshot::channel();
-        let lost = self.lost(&request);
+        let terms = &self.shared.terms;
+        let class = terms.classes.get(request.class.0);
+        let lost = match class {
+            Some(class) if class.repeatable => Answer::Refused {
+                retry_after: terms.retry_after,
+            },
+            _ => Answer::Failed(Failure::Ending),
+        };
+        let running = class.map(|class| terms.figures.take(&class.name));
         let mailbox = self.mailbox_for(request.id);
-        let pending = Pending::new(request.id, answer, mailbox.clone(), lost);
+        let pending = Pending::new(request.id, answer, mailbox.clone(), lost, running);
         if let Some(mailbox) = mailbox {
             // Where the broker is gone, the reply goes with the message and the answer says so.
             let _ = mailbox.send(ToBroker::Submit(request, reply)).await;
@@ -154,17 +171,6 @@
         pending
     }
 
-    /// The answer to a request whose broker dies.
-    fn lost(&self, request: &NewRequest) -> Answer {
-        let losses = &self.shared.losses;
-        match losses.repeatable.get(request.class.0) {
-            Some(true) => Answer::Refused {
-                retry_after: losses.retry_after,
-            },
-            _ => Answer::Failed(Failure::Ending),
-        }
-    }
-
     fn all(&self) -> impl Iterator<Item = BrokerBox> {
         (0..self.slots().len()).filter_map(|shard| self.mailbox(shard))
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 //! assert!(actions.iter().any(|action| matches!(action, Action::Send { engine: EngineId(1), .. })));
 //! ```
 
+mod avoided;
 mod circle;
 mod interface;
 mod parts;
