--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -1,17 +1,18 @@
 //! What the administration asks of the broker, and what has been counted for it.
 
 use super::Broker;
-use sedgebeam_core::{ClassId, Outcome, Tenant, TenantId};
+use sedgebeam_core::{Outcome, Tenant};
 use sedgebeam_port::{
     Answer, Answers, Asked, Counters, Denied, EngineRow, Health, Listing, Target, TenantRow, Told,
 };
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-/// What is counted by class and tenant, by their places, and attempts by outcome.
+/// What is counted by class and tenant, and attempts by outcome.
 #[derive(Debug, Default)]
 pub struct Tally {
-    classes: Vec<Answers>,
-    tenants: Vec<Answers>,
+    classes: BTreeMap<Arc<str>, Answers>,
+    tenants: BTreeMap<String, Answers>,
     attempts: BTreeMap<&'static str, u64>,
 }
 
@@ -23,25 +24,21 @@
     }
 }
 
-fn at(list: &mut Vec<Answers>, place: usize) -> &mut Answers {
-    if list.len() <= place {
-        list.resize(place + 1, Answers::default());
+impl Tally {
+    pub fn taken(&mut self, class: &Arc<str>, tenant: Option<&str>) {
+        self.count(class, tenant, |answers| answers.taken += 1);
     }
-    &mut list[place]
-}
 
-impl Tally {
-    pub fn taken(&mut self, class: ClassId, tenant: Option<TenantId>) {
-        at(&mut self.classes, class.0).taken += 1;
-        if let Some(tenant) = tenant {
-            at(&mut self.tenants, tenant.0).taken += 1;
-        }
+    pub fn answered(&mut self, class: &Arc<str>, tenant: Option<&str>, answer: &Answer) {
+        self.count(class, tenant, |answers| count(answers, answer));
     }
 
-    pub fn answered(&mut self, class: ClassId, tenant: Option<TenantId>, answer: &Answer) {
-        count(at(&mut self.classes, class.0), answer);
-        if let Some(tenant) = tenant {
-            count(at(&mut self.tenants, tenant.0), answer);
+    fn count(&mut self, class: &Arc<str>, tenant: Option<&str>, count: impl Fn(&mut Answers)) {
+        count(self.classes.entry(class.clone()).or_default());
+        let Some(tenant) = tenant else { return };
+        match self.tenants.get_mut(tenant) {
+            Some(answers) => count(answers),
+            None => count(self.tenants.entry(tenant.to_string()).or_default()),
         }
     }
 
@@ -60,16 +57,16 @@
     }
 }
 
-/// Each has a line a class in the module.
-const MOST_TENANTS: usize = 1000;
-
 /// Names with what was counted under them; what is not counted yet is nothing.
-fn named(names: &[String], counted: &[Answers]) -> BTreeMap<String, Answers> {
-    let counted = counted
-        .iter()
-        .cloned()
-        .chain(std::iter::repeat(Answers::default()));
-    names.iter().cloned().zip(counted).collect()
+fn named<N: AsRef<str>>(
+    names: impl Iterator<Item = String>,
+    counted: &BTreeMap<N, Answers>,
+) -> BTreeMap<String, Answers> {
+    let fresh = names.map(|name| (name, Answers::default()));
+    let counted = counted.iter();
+    fresh
+        .chain(counted.map(|(name, answers)| (name.as_ref().to_string(), answers.clone())))
+        .collect()
 }
 
 impl Broker {
@@ -91,11 +88,8 @@
             }
             Asked::Counters => return Ok(self.counted()),
             Asked::Engines => return Ok(self.engine_rows()),
-            Asked::Tenants => return Ok(self.tenant_rows()),
-            Asked::SetTenant(name, share, per_second) => {
-                self.set_tenant(name, share, per_second)?;
-                return Ok(self.tenant_rows());
-            }
+            // The desk has told of new shares as of all new settings.
+            Asked::Tenants | Asked::SetTenant(..) => return Ok(self.tenant_rows()),
             Asked::SetEngine(target) => self.list(Listing::Changes, vec![target]),
             Asked::RemoveEngine(uid) => {
                 let mut target = self.target(&uid)?;
@@ -123,9 +117,12 @@
 
     fn counted(&self) -> Told {
         let attempts = self.counters.attempts.iter();
+        let (classes, tenants) = (&self.settings.classes, &self.settings.tenants);
+        let classes = classes.iter().map(|class| class.name.clone());
+        let tenants = tenants.iter().map(|tenant| tenant.name.clone());
         Told::Counters(Counters {
-            classes: named(&self.names.classes, &self.counters.classes),
-            tenants: named(&self.names.tenants, &self.counters.tenants),
+            classes: named(classes, &self.counters.classes),
+            tenants: named(tenants, &self.counters.tenants),
             attempts: attempts
                 .map(|(name, count)| (name.to_string(), *count))
                 .collect(),
@@ -156,25 +153,4 @@
         };
         Told::Tenants(self.settings.tenants.iter().map(row).collect())
     }
-
-    fn set_tenant(&mut self, name: String, share: f64, per_second: f64) -> Result<(), Denied> {
-        let tenants = &mut self.settings.tenants;
-        let full = tenants.len() >= MOST_TENANTS;
-        match tenants.iter_mut().find(|tenant| tenant.name == name) {
-            Some(tenant) => (tenant.share, tenant.per_second) = (share, per_second),
-            None if full => {
-                return Err(Denied::Invalid("there are too many tenants".to_string()));
-            }
-            None => {
-                self.names.tenants.push(name.clone());
-                tenants.push(Tenant {
-                    name,
-                    share,
-                    per_second,
-                });
-            }
-        }
-        self.gateway.set_tenants(self.settings.tenants.clone());
-        Ok(())
-    }
 }
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -22,6 +22,7 @@
     Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
     NewRequest, Page, Probe, Report, Reports, SessionKey, Target, ToBroker, ToEngine,
 };
+use sedgebeam_retune::Tuning;
 use sedgebeam_settings::{Names, micros};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -82,10 +83,7 @@
 /// What a broker needs to know at its start.
 #[derive(Clone)]
 pub struct Setup {
-    pub settings: Settings,
-    pub names: Names,
-    /// The requests that may be open at once.
-    pub most_open: usize,
+    pub tuning: Arc<Tuning>,
     pub seed: u64,
     pub clock: Clock,
     pub figures: Figures,
@@ -98,17 +96,17 @@
 /// The broker and its mailbox.
 pub fn new(setup: Setup) -> (Broker, BrokerBox, mpsc::Receiver<ToBroker>) {
     let (own, incoming) = mpsc::channel(MAILBOX);
+    let Tuning {
+        settings,
+        names,
+        most_open,
+    } = (*setup.tuning).clone();
     let broker = Broker {
-        gateway: Gateway::new(setup.settings.clone(), setup.seed),
-        class_names: setup
-            .names
-            .classes
-            .iter()
-            .map(|name| name.as_str().into())
-            .collect(),
-        settings: setup.settings,
-        names: setup.names,
-        most_open: setup.most_open,
+        gateway: Gateway::new(settings.clone(), setup.seed),
+        class_names: class_names(&settings),
+        settings,
+        names,
+        most_open,
         world: setup.world,
         part: setup.part,
         woken: false,
@@ -130,6 +128,11 @@
     (broker, own, incoming)
 }
 
+fn class_names(settings: &Settings) -> Vec<Arc<str>> {
+    let classes = settings.classes.iter();
+    classes.map(|class| class.name.as_str().into()).collect()
+}
+
 impl Broker {
     /// Runs until every sender of its mailbox but its own is gone, which is never.
     pub async fn run(mut self, mut incoming: mpsc::Receiver<ToBroker>) {
@@ -326,6 +329,8 @@
             }
             ToBroker::EngineDied(engine) => self.engine_died(engine),
             ToBroker::List(listing, targets) => self.list(listing, targets),
+            // Whoever told of them waits for the sender to be dropped.
+            ToBroker::Retune(tuning, _held) => self.retune(&tuning),
             ToBroker::Admin(asked, reply) => {
                 // A client that has gone needs no answer.
                 let _ = reply.send(self.administer(asked));
@@ -333,6 +338,24 @@
         }
     }
 
+    /// Takes new settings: what came before was told under the old ones, and the gateway hears it first.
+    fn retune(&mut self, tuning: &Tuning) {
+        if !self.events.is_empty() {
+            self.batch(Instant::now());
+        }
+        self.settings = tuning.settings.clone();
+        self.names = tuning.names.clone();
+        self.most_open = tuning.most_open;
+        self.class_names = class_names(&self.settings);
+        if let Some(part) = &self.part {
+            part.retune(&self.settings, self.most_open);
+        }
+        self.gateway.retune(tuning.settings.clone());
+        // Kinds and zones may stand at other places now.
+        let targets = self.engines.values().map(|known| known.target.clone());
+        self.list(Listing::Complete, targets.collect());
+    }
+
     // ---- Requests ----
 
     fn submit(&mut self, request: NewRequest, reply: oneshot::Sender<Answer>) {
@@ -344,7 +367,9 @@
             let _ = reply.send(Answer::Failed(Failure::Duplicate));
             return;
         }
-        if self.open.len() >= self.most_open {
+        // A class that is not known would never have an answer.
+        let unknown = request.class.0 >= self.class_names.len();
+        if self.open.len() >= self.most_open || unknown {
             let _ = reply.send(refused);
             return;
         }
@@ -360,7 +385,8 @@
             let _ = reply.send(Answer::Failed(Failure::Duplicate));
             return;
         }
-        self.counters.taken(request.class, tenant);
+        let class = &self.class_names[request.class.0];
+        self.counters.taken(class, named);
         self.events.push(Event::Request(Query {
             id,
             class: request.class,
@@ -388,7 +414,12 @@
         let Some(reply) = open.reply.take() else {
             return;
         };
-        self.counters.answered(open.class, open.tenant, &answer);
+        let class = &self.class_names[open.class.0];
+        let tenant = open
+            .tenant
+            .and_then(|tenant| self.settings.tenants.get(tenant.0));
+        let tenant = tenant.map(|tenant| tenant.name.as_str());
+        self.counters.answered(class, tenant, &answer);
         // The client may have gone in this moment; then its result is dropped, and so let go.
         let _ = reply.send(answer);
         if let Some(session) = open.session {
@@ -617,6 +648,7 @@
             gone.into_iter().for_each(|id| self.forget(id));
         }
         self.events.push(Event::List { kind, engines });
+        self.tell_engines();
     }
 
     fn entry(&self, id: EngineId, target: &Target, state: EngineState) -> Engine {
--- a/broker/src/parts.rs
+++ b/broker/src/parts.rs
@@ -39,16 +39,20 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn terms(shards: usize, open: usize, settings: &Settings) -> Terms {
+    Terms {
+        shards,
+        lease: LEASE,
+        tick: settings.tick,
+        cold_window: settings.overload_for,
+        credit_cap: sedgebeam_core::CREDIT_CAP,
+        open,
+    }
+}
+
 impl Shared {
     pub fn new(shards: usize, open: usize, settings: &Settings, desk: Desk) -> Arc<Shared> {
-        let terms = Terms {
-            shards,
-            lease: LEASE,
-            tick: settings.tick,
-            cold_window: settings.overload_for,
-            credit_cap: sedgebeam_core::CREDIT_CAP,
-            open,
-        };
+        let terms = terms(shards, open, settings);
         Arc::new(Shared {
             ledger: Mutex::new(Ledger::new(terms)),
             wakes: (0..shards).map(|_| Notify::new()).collect(),
@@ -98,6 +102,12 @@
         self.shard.0
     }
 
+    /// New settings; each shard tells of them.
+    pub fn retune(&self, settings: &Settings, open: usize) {
+        let terms = terms(self.shared.wakes.len(), open, settings);
+        lock(&self.shared.ledger).retune(terms);
+    }
+
     pub fn borrow(&self, now: Micros, wish: &Wish, open: usize) -> Loan {
         lock(&self.shared.ledger).borrow(self.shard, now, wish, open)
     }
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -28,10 +28,13 @@
     let facts = r#"{"balancers": 1, "tick": 5, "domain": {"tells_cost": true}, "tenants": [{"name": "acme"}],
         "limits": {"cancel": true, "max_attempts": 3}, "services": [{"name": "load", "give_up": 9000}]}"#;
     let facts: sedgebeam_settings::Facts = miniserde::json::from_str(facts).expect("settings");
-    Setup {
+    let tuning = Tuning {
         settings: facts.settings(),
         names: facts.names(),
         most_open: 100,
+    };
+    Setup {
+        tuning: Arc::new(tuning),
         seed: 1,
         clock: Clock::start(),
         figures: Figures::default(),
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -5,6 +5,7 @@
 use miniserde::{Deserialize, json};
 use sedgebeam_core::{Micros, Settings};
 use sedgebeam_port::Target;
+use sedgebeam_retune::Tuning;
 use sedgebeam_settings::{Connections, Facts, Names};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -26,6 +27,8 @@
 const NEW_ENGINES: usize = 2;
 /// More workers than this are no use to a dispatcher, whose shards share every engine.
 const MOST_WORKERS: usize = 64;
+/// No client waits for longer.
+const LONGEST: Micros = Micros::from_millis(86_400_000);
 /// Bounds of the connections to one engine.
 const FEWEST_CONNECTIONS: usize = 2;
 const MOST_CONNECTIONS: usize = 32;
@@ -59,6 +62,19 @@
     pub shards: usize,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// The platform's file as it was read.
+    pub file: Value,
+}
+
+impl Config {
+    /// What can change while the program runs.
+    pub fn tuning(&self) -> Tuning {
+        Tuning {
+            settings: self.settings.clone(),
+            names: self.names.clone(),
+            most_open: self.connections.max_open,
+        }
+    }
 }
 
 /// The change log up to the start.
@@ -214,24 +230,48 @@
     }
 }
 
-/// Reads the keys of one kind from a file; none without one.
-fn decode<T: Default + Deserialize>(origin: &str, path: Option<&Path>) -> Result<T, Wrong> {
-    let Some(path) = path else {
-        return Ok(<T as Default>::default());
-    };
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| wrong(origin, format!("{}: {error}", path.display())))?;
-    if let Ok(file) = json::from_str(&text) {
-        return Ok(file);
+/// A file, read once: whoever replaces it meanwhile must not have half of each taken.
+struct File<'a> {
+    origin: &'a str,
+    path: &'a Path,
+    text: String,
+    root: Value,
+}
+
+impl<'a> File<'a> {
+    fn read(origin: &'a str, path: Option<&'a Path>) -> Result<Option<File<'a>>, Wrong> {
+        let Some(path) = path else { return Ok(None) };
+        let why = |why: &dyn std::fmt::Display| wrong(origin, format!("{}: {why}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|error| why(&error))?;
+        let root = json::from_str(&text).map_err(|_| why(&"not JSON"))?;
+        Ok(Some(File {
+            origin,
+            path,
+            text,
+            root,
+        }))
+    }
+
+    /// Reads the keys of one kind from it.
+    fn decode<T: Deserialize>(&self) -> Result<T, Wrong> {
+        if let Ok(file) = json::from_str(&self.text) {
+            return Ok(file);
+        }
+        let key = match faulty::<T>(&self.root) {
+            key if key.is_empty() => self.origin.to_string(),
+            key => key,
+        };
+        let why = format!("in {}: not of the form expected here", self.path.display());
+        Err(wrong(&key, why))
+    }
+}
+
+/// The keys of one kind from a file; none without one.
+fn keys<T: Default + Deserialize>(file: Option<&File>) -> Result<T, Wrong> {
+    match file {
+        Some(file) => file.decode(),
+        None => Ok(<T as Default>::default()),
     }
-    let root: Value = json::from_str(&text)
-        .map_err(|_| wrong(origin, format!("{}: not JSON", path.display())))?;
-    let key = match faulty::<T>(&root) {
-        key if key.is_empty() => origin.to_string(),
-        key => key,
-    };
-    let why = format!("in {}: not of the form expected here", path.display());
-    Err(wrong(&key, why))
 }
 
 fn address(key: &str, text: Option<&str>) -> Result<Option<SocketAddr>, Wrong> {
@@ -267,16 +307,26 @@
 /// The decision module's settings, checked for what would make them useless.
 fn settings(facts: &Facts) -> Result<Settings, Wrong> {
     let mut settings = facts.settings();
-    if settings.classes.is_empty() {
+    let classes = &settings.classes;
+    if classes.is_empty() {
         return Err(wrong("settings.services", "no class is named"));
     }
-    let unlimited = settings
-        .classes
-        .iter()
-        .find(|class| class.give_up == Micros(0));
-    if let Some(class) = unlimited {
-        let why = format!("{:?}: it must be more than 0", class.name);
-        return Err(wrong("settings.services.give_up", why));
+    for (place, class) in classes.iter().enumerate() {
+        let key = |key: &str| format!("settings.services.{place}.{key}");
+        if class.name.is_empty() || classes[..place].iter().any(|c| c.name == class.name) {
+            let why = format!("{:?}: each class has a name of its own", class.name);
+            return Err(wrong(&key("name"), why));
+        }
+        if !(Micros(1)..=LONGEST).contains(&class.give_up) {
+            let why = format!("{:?}: it is more than 0, and at most a day", class.name);
+            return Err(wrong(&key("give_up"), why));
+        }
+    }
+    if facts.attempts() == Some(0) {
+        return Err(wrong(
+            "settings.limits.max_attempts",
+            "it must be more than 0",
+        ));
     }
     if settings.tick == Micros(0) {
         settings.tick = Micros::from_millis(5);
@@ -316,9 +366,11 @@
         ));
     }
     let config = environment.config.as_deref().map(Path::new);
-    let platform: Shared = decode("PROXY_CONFIG", config)?;
-    let fallback: Shared = decode("--config", own)?;
-    let own: Own = decode("--config", own)?;
+    let config = File::read("PROXY_CONFIG", config)?;
+    let own = File::read("--config", own)?;
+    let platform: Shared = keys(config.as_ref())?;
+    let fallback: Shared = keys(own.as_ref())?;
+    let own: Own = keys(own.as_ref())?;
     let listen = environment
         .listen
         .clone()
@@ -364,6 +416,7 @@
         pin_workers: own.pin_workers.unwrap_or_default(),
         shards,
         sockets,
+        file: config.map_or(Value::Null, |config| config.root),
     })
 }
 
--- a/dispatcher/src/crew.rs
+++ b/dispatcher/src/crew.rs
@@ -9,11 +9,10 @@
 use core_affinity::CoreId;
 use sedgebeam_broker::parts::{Part, Shared};
 use sedgebeam_broker::{self as broker, Setup};
-use sedgebeam_core::Effect;
 use sedgebeam_leases::placement::{self, Load};
 use sedgebeam_operation::Figures;
-use sedgebeam_port::clock::{Clock, duration};
-use sedgebeam_port::{Class, Desk, Engines, Terms, supervise};
+use sedgebeam_port::clock::Clock;
+use sedgebeam_port::{Desk, Engines, supervise};
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
@@ -80,20 +79,10 @@
         figures: &Figures,
         clock: Clock,
     ) -> io::Result<Crew> {
-        let class = |class: &sedgebeam_core::Class| Class {
-            name: class.name.as_str().into(),
-            repeatable: class.effect == Effect::Repeatable,
-        };
-        let terms = Terms {
-            classes: config.settings.classes.iter().map(class).collect(),
-            retry_after: duration(config.settings.max_retry_after),
-            figures: figures.clone(),
-        };
-        let desk = Desk::new(config.shards, config.seed, terms);
+        let tuning = config.tuning();
+        let desk = Desk::new(config.shards, config.seed, figures.clone(), tuning.clone());
         let setup = Setup {
-            settings: config.settings.clone(),
-            names: config.names.clone(),
-            most_open: config.connections.max_open,
+            tuning: Arc::new(tuning),
             seed: config.seed,
             clock,
             figures: figures.clone(),
@@ -122,12 +111,9 @@
     }
 
     async fn several(config: &Config, desk: Desk, setup: Setup) -> io::Result<Crew> {
-        let shared = Shared::new(
-            config.shards,
-            setup.most_open,
-            &setup.settings,
-            desk.clone(),
-        );
+        let tuning = &setup.tuning;
+        let (open, settings) = (tuning.most_open, &tuning.settings);
+        let shared = Shared::new(config.shards, open, settings, desk.clone());
         widen_descriptors(config.sockets);
         let cores = if config.pin_workers {
             core_affinity::get_core_ids().unwrap_or_default()
--- a/dispatcher/src/reload.rs
+++ b/dispatcher/src/reload.rs
@@ -1,7 +1,14 @@
 //! New configurations while the program runs: SIGHUP has the files read again.
+//!
+//! A file is taken whole or not at all. What it changes are the settings and the address of the change log;
+//! every other key takes a restart.
 
-use crate::config::{self, Config, Environment, Wrong};
+use crate::config::{self, Config, Environment, Wrong, wrong};
+use miniserde::json::Value;
 use sedgebeam_operation::Figures;
+use sedgebeam_port::Desk;
+use sedgebeam_retune::{MOST_PLACES, file};
+use sedgebeam_settings::Connections;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -13,6 +20,8 @@
 const TRIES: u32 = 4;
 /// What is counted of it must show within half a second.
 const BETWEEN: Duration = Duration::from_millis(100);
+/// The list so far is news of its own, and need not be of the form that it had.
+const SKIPPED: [&str; 1] = ["known"];
 
 /// Where the configuration is read from, now and later.
 pub struct Source {
@@ -26,54 +35,73 @@
     }
 }
 
-/// Reads the configuration again at each hangup, for ever. What it changes is the address of the change
-/// log; a configuration that is wrong changes nothing.
-pub async fn at_hangup(
-    mut hangup: Signal,
-    source: Source,
-    changelog: watch::Sender<Option<SocketAddr>>,
-    figures: Figures,
-) {
-    while hangup.recv().await.is_some() {
-        let mut attempt = 1;
-        loop {
-            match source.load() {
-                Ok(config) => {
-                    take(config, &changelog);
-                    figures.reloaded(true);
+/// What hears of a new configuration.
+pub struct Reload {
+    pub source: Source,
+    /// The platform's file that was last taken.
+    pub running: Value,
+    pub desk: Desk,
+    pub changelog: watch::Sender<Option<SocketAddr>>,
+    pub connections: watch::Sender<Connections>,
+    /// Classes may have been retired.
+    pub retired: watch::Sender<()>,
+    pub figures: Figures,
+}
+
+impl Reload {
+    /// Reads the configuration again at each hangup, for ever.
+    pub async fn at_hangup(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            let mut attempt = 1;
+            while let Err(wrong) = self.read().await {
+                log::warn!("the running configuration is kept ({attempt} of {TRIES}): {wrong}");
+                if attempt == TRIES {
+                    self.figures.reloaded(false);
                     break;
                 }
-                Err(wrong) => {
-                    log::warn!("the running configuration is kept ({attempt} of {TRIES}): {wrong}");
-                }
-            }
-            if attempt == TRIES {
-                figures.reloaded(false);
-                break;
-            }
-            attempt += 1;
-            tokio::select! {
-                // The next hangup reads a newer file; this one is not waited for any longer.
-                again = hangup.recv() => {
-                    if again.is_none() {
-                        return;
+                attempt += 1;
+                tokio::select! {
+                    // This hangup reads a newer file; the one before is not waited for any longer.
+                    again = hangup.recv() => {
+                        if again.is_none() {
+                            return;
+                        }
+                        self.figures.reloaded(false);
+                        attempt = 1;
                     }
-                    figures.reloaded(false);
-                    attempt = 1;
+                    () = sleep(BETWEEN) => {}
                 }
-                () = sleep(BETWEEN) => {}
             }
         }
     }
-}
 
-fn take(config: Config, changelog: &watch::Sender<Option<SocketAddr>>) {
-    let moved = changelog.send_if_modified(|address| {
-        std::mem::replace(address, config.changelog) != config.changelog
-    });
-    match (moved, config.changelog) {
-        (false, _) => log::info!("the configuration was read again: nothing that it changes"),
-        (true, Some(address)) => log::info!("the change log is at {address} from now on"),
-        (true, None) => log::info!("there is no change log from now on"),
+    /// Reads the files, and takes them where nothing is wrong with them.
+    async fn read(&mut self) -> Result<(), Wrong> {
+        let config = self.source.load()?;
+        if let Some(key) = file::missing(&self.running, &config.file, &SKIPPED) {
+            return Err(wrong(
+                &key,
+                "it is there in the running configuration, and missing now",
+            ));
+        }
+        if !self.desk.retune(&config.tuning()).await {
+            let why = format!("there are more than {MOST_PLACES}, with those that end");
+            return Err(wrong("settings.services or settings.tenants", why));
+        }
+        self.figures.reloaded(true);
+        self.retired.send_replace(());
+        self.connections.send_replace(config.connections);
+        let moved = self.changelog.send_if_modified(|address| {
+            std::mem::replace(address, config.changelog) != config.changelog
+        });
+        match (moved, config.changelog) {
+            (false, _) => log::info!("the configuration was read again and taken"),
+            (true, Some(address)) => {
+                log::info!("taken; the change log is at {address} from now on")
+            }
+            (true, None) => log::info!("taken; there is no change log from now on"),
+        }
+        self.running = config.file;
+        Ok(())
     }
 }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::door;
 use crate::duty::Duty;
 use crate::passed;
-use crate::reload::{self, Source};
+use crate::reload::{Reload, Source};
 use crate::roster;
 use futures::StreamExt;
 use sedgebeam_engines::Wires;
@@ -15,7 +15,7 @@
 use sedgebeam_fronts::{Shared, flight, incoming, pg};
 use sedgebeam_operation::{Drain, Figures, Newcomers, Orders};
 use sedgebeam_port::clock::Clock;
-use sedgebeam_port::{Listing, SessionKey, supervise};
+use sedgebeam_port::{Asked, Listing, SessionKey, supervise};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,8 +74,9 @@
         log::info!("{} takes calls of operators on {address}", config.name);
     }
     supervise::vital("the drain", duty.clone().keep_time());
+    let (connections, heeded) = watch::channel(config.connections);
     let world = Wires {
-        connections: config.connections,
+        connections: heeded,
         figures: figures.clone(),
     };
     let crew = Crew::start(&config, Arc::new(world), &figures, clock).await?;
@@ -87,12 +88,20 @@
     let (changelog, address) = watch::channel(config.changelog);
     let follow = roster::follow(address, config.known.seq, desk.clone());
     supervise::vital("the change log", follow);
-    let reloading = reload::at_hangup(hangup, source, changelog, figures);
-    supervise::vital("reloading", reloading);
-    let shared = Shared {
-        desk,
-        names: Arc::new(config.names.clone()),
+    let (retired, news) = watch::channel(());
+    let names = desk.clone();
+    supervise::vital("names", async move { names.forget_names(news).await });
+    let reload = Reload {
+        source,
+        running: config.file.clone(),
+        desk: desk.clone(),
+        changelog,
+        connections,
+        retired,
+        figures,
     };
+    supervise::vital("reloading", reload.at_hangup(hangup));
+    let shared = Shared { desk: desk.clone() };
     let (end, _) = watch::channel(false);
     // Every session holds a sender; when the last is dropped, all have ended.
     let (alive, mut all_ended) = mpsc::channel::<()>(1);
@@ -120,11 +129,7 @@
         Some(descriptor) => TcpListener::from_std(passed::listener(descriptor)?)?,
         None => TcpListener::bind(config.listen).await?,
     };
-    log::info!(
-        "{} serves PostgreSQL clients on {}",
-        config.name,
-        listener.local_addr()?
-    );
+    let address = listener.local_addr()?;
     let sessions = Sessions {
         crew,
         shared,
@@ -135,7 +140,11 @@
         next: config.seed,
     };
     let accepting = supervise::vital("accepting", sessions.accept(listener, duty.subscribe()));
+    // Once one has answered, the brokers have the list.
+    let health = desk.ask(Asked::Health).await;
+    health.map_err(|_| io::Error::other("the brokers ended at once"))?;
     duty.change(|drain, _| drain.prepared());
+    log::info!("{} serves PostgreSQL clients on {address}", config.name);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -253,6 +262,7 @@
             };
             match accepted {
                 Ok((stream, _)) if newcomers == Newcomers::TurnedAway => {
+                    log::debug!("turned away: draining");
                     pg::turn_away(&stream, pg::Away::Draining);
                 }
                 Ok((stream, _)) => self.start(stream).await,
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -12,7 +12,7 @@
 use sedgebeam_settings::Connections;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 struct Bench {
     engine: Peer,
@@ -39,7 +39,7 @@
         ..Target::default()
     };
     let wires = Wires {
-        connections,
+        connections: watch::channel(connections).1,
         figures: Figures::default(),
     };
     let actor = wires.start(&target, Reports::new(EngineId(1), broker));
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -17,6 +17,7 @@
 use sedgebeam_operation::Figures;
 use sedgebeam_port::clock::duration;
 use sedgebeam_port::{Attempt, End, More, Page, Probe, Report, Reports, ToEngine, supervise};
+use sedgebeam_settings::Connections;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -113,6 +114,10 @@
 }
 
 impl Actor {
+    fn settings(&self) -> Connections {
+        *self.wires.connections.borrow()
+    }
+
     async fn take(&mut self, message: ToEngine) {
         match message {
             ToEngine::Send(attempt) => self.send(attempt).await,
@@ -170,7 +175,7 @@
     }
 
     fn close_idle(&mut self) {
-        let idle = duration(self.wires.connections.idle);
+        let idle = duration(self.settings().idle);
         let now = Instant::now();
         self.lanes
             .retain(|_, lane| lane.out > 0 || now < lane.used + idle);
@@ -178,17 +183,17 @@
 
     /// The fullest lane with room, or a new one.
     fn lane(&mut self) -> Option<(u64, Opening)> {
-        let most = self.wires.connections.max_streams;
+        let most = self.settings().max_streams;
         let fit = self.lanes.iter_mut().filter(|(_, lane)| lane.out < most);
         if let Some((number, lane)) = fit.max_by_key(|(number, lane)| (lane.out, **number)) {
             lane.out += 1;
             return Some((*number, lane.opening.clone()));
         }
-        if self.lanes.len() >= self.wires.connections.most {
+        if self.lanes.len() >= self.settings().most {
             return None;
         }
         self.next_lane += 1;
-        let limit = duration(self.wires.connections.connect_timeout);
+        let limit = duration(self.settings().connect_timeout);
         let opening = open(self.endpoint.clone(), limit).boxed().shared();
         let lane = Lane {
             opening: opening.clone(),
@@ -283,7 +288,7 @@
         let channel = up.next();
         drop(up);
         let (endpoint, reports) = (self.endpoint.clone(), self.reports.clone());
-        let limit = duration(self.wires.connections.connect_timeout);
+        let limit = duration(self.settings().connect_timeout);
         tokio::spawn(async move {
             let probe = match channel {
                 Some(channel) => stats(channel, limit).await,
--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -6,7 +6,7 @@
 use sedgebeam_operation::Figures;
 use sedgebeam_port::{EngineBox, Engines, Reports, Target, supervise};
 use sedgebeam_settings::Connections;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Requests that may wait in an engine's mailbox: far more than it ever runs.
 const MAILBOX: usize = 4096;
@@ -17,7 +17,8 @@
 /// Engines over the network.
 #[derive(Clone)]
 pub struct Wires {
-    pub connections: Connections,
+    /// They may change while engines are served.
+    pub connections: watch::Receiver<Connections>,
     /// Attempts are counted there once they are written.
     pub figures: Figures,
 }
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -9,7 +9,6 @@
 use codec::{About, Command, Reply, Word};
 use connection::{Came, Connection, Number};
 use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
-use sedgebeam_operation::Figures;
 use sedgebeam_port::clock::duration;
 use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
 use sedgebeam_settings::Connections;
@@ -61,8 +60,7 @@
 
 struct Actor {
     endpoint: String,
-    settings: Connections,
-    figures: Figures,
+    wires: Wires,
     reports: Reports,
     came: mpsc::Sender<(Number, Came)>,
     connections: HashMap<Number, Connection>,
@@ -82,8 +80,7 @@
     let (came, mut incoming) = mpsc::channel(MAILBOX);
     let mut actor = Actor {
         endpoint,
-        settings: wires.connections,
-        figures: wires.figures,
+        wires,
         reports,
         came,
         connections: HashMap::new(),
@@ -113,6 +110,10 @@
 }
 
 impl Actor {
+    fn settings(&self) -> Connections {
+        *self.wires.connections.borrow()
+    }
+
     async fn take(&mut self, message: ToEngine) {
         match message {
             ToEngine::Send(attempt) => self.send(attempt).await,
@@ -162,7 +163,7 @@
     /// The connection that was idle least long, or a new one while there may be more, or the one that carries
     /// least. None that has carried this request before, nor one that is of no further use.
     fn connection_for(&mut self, request: Option<RequestId>) -> Option<Number> {
-        let most = self.settings.max_streams;
+        let most = self.settings().max_streams;
         let fit = self.connections.iter().filter(|(_, connection)| {
             let again = request.is_some_and(|id| connection.has_carried(id));
             !connection.spent && connection.out < most && !again
@@ -170,7 +171,7 @@
         let least =
             |connection: &Connection| (Reverse(connection.out), connection.up, connection.used);
         let best = fit.max_by_key(|(number, connection)| (least(connection), number.0));
-        let full = self.connections.len() >= self.settings.most;
+        let full = self.connections.len() >= self.settings().most;
         if let Some((number, connection)) = best
             && (full || request.is_none() || connection.out == 0)
         {
@@ -181,9 +182,10 @@
         }
         self.next_connection += 1;
         let number = Number(self.next_connection);
-        let timeout = duration(self.settings.connect_timeout);
+        let timeout = duration(self.settings().connect_timeout);
         let (endpoint, came) = (self.endpoint.clone(), self.came.clone());
-        let connection = Connection::open(number, endpoint, timeout, came, self.figures.clone());
+        let connection =
+            Connection::open(number, endpoint, timeout, came, self.wires.figures.clone());
         self.connections.insert(number, connection);
         Some(number)
     }
@@ -400,7 +402,7 @@
 
     async fn look(&mut self) {
         let now = Instant::now();
-        let idle = duration(self.settings.idle).mul_f64(IDLE_PART);
+        let idle = duration(self.settings().idle).mul_f64(IDLE_PART);
         self.connections.retain(|_, connection| {
             let busy = connection.out > 0 || !connection.up;
             busy || (!connection.spent && now < connection.used + idle)
@@ -413,7 +415,7 @@
         for number in stopped {
             self.abandon(number, "a page never came").await;
         }
-        let limit = duration(self.settings.connect_timeout);
+        let limit = duration(self.settings().connect_timeout);
         let late = self.probes.extract_if(|_, asked| now >= *asked + limit);
         for _ in late.collect::<Vec<_>>() {
             self.reports.tell(Report::Probed(Probe::Silent)).await;
--- a/fleet/src/cold.rs
+++ b/fleet/src/cold.rs
@@ -82,12 +82,14 @@
         classes: &[(f64, f64)],
         phase: impl Fn(usize) -> f64,
     ) {
-        if self.classes.is_empty() {
-            let begin = |class| Right {
-                credit: phase(class),
-                open_until: 0,
-            };
-            self.classes = (0..classes.len()).map(begin).collect();
+        let begin = |class| Right {
+            credit: phase(class),
+            open_until: 0,
+        };
+        let (known, fresh) = (self.classes.len(), self.classes.is_empty());
+        // A class may come later; it begins as all do.
+        self.classes.extend((known..classes.len()).map(begin));
+        if fresh {
             // What was granted before is for those who were there: all that begin anew at one moment would
             // else open rights for the whole life of the engine so far.
             self.granted = granted;
--- a/fleet/src/crowd.rs
+++ b/fleet/src/crowd.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Takes other bounds and another usual traffic; what answers told stays.
+    pub fn retune(&mut self, other: Multiple) {
+        self.least = other.least;
+        self.now = self.now.max(other.least);
+        self.traffic.usual = other.traffic.usual;
+    }
+
     /// A sign of a crowd, or of none.
     pub fn follow(&mut self, crowded: bool) {
         let step = STEP * if crowded { -1.0 } else { RISE };
--- a/fronts/src/flight.rs
+++ b/fronts/src/flight.rs
@@ -138,7 +138,8 @@
     fn read(&self, query: String, metadata: &MetadataMap) -> Result<NewRequest, Status> {
         let came = Instant::now();
         let text = Bytes::from(query);
-        let names = &self.shared.names;
+        let tuning = self.shared.desk.tuning();
+        let names = &tuning.names;
         let told = std::str::from_utf8(&text).is_ok_and(statement::has_fields);
         let request = if told {
             statement::read(&text, came, names, None)
--- a/fronts/src/leave.rs
+++ b/fronts/src/leave.rs
@@ -39,6 +39,11 @@
 }
 
 impl Leave {
+    /// Whether the dispatcher takes work.
+    pub fn ready(&self) -> bool {
+        self.orders.borrow().ready
+    }
+
     /// Whether it goes now that it has answered.
     pub fn after_answer(&self) -> bool {
         self.orders.borrow().kept != Kept::Stay
--- a/fronts/src/lib.rs
+++ b/fronts/src/lib.rs
@@ -8,14 +8,11 @@
 pub mod statement;
 
 use sedgebeam_port::{Desk, Failure};
-use sedgebeam_settings::Names;
-use std::sync::Arc;
 
 /// What every front needs.
 #[derive(Clone)]
 pub struct Shared {
     pub desk: Desk,
-    pub names: Arc<Names>,
 }
 
 /// What a client is told of a failure.
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -64,14 +64,9 @@
 
 /// Refuses a connection; what does not fit its empty buffer is let go.
 pub fn turn_away(stream: &TcpStream, why: Away) {
-    let (code, message) = match why {
-        Away::NoPlace => ("53300", "there are too many sessions; nothing ran"),
-        Away::Draining => ("57P03", "this dispatcher takes no more work; nothing ran"),
-    };
-    let told = Error {
-        code,
-        message: message.to_string(),
-        hint: Some("try again in 1000 ms".to_string()),
+    let told = match why {
+        Away::NoPlace => refusal("53300", "there are too many sessions; nothing ran"),
+        Away::Draining => draining(),
     };
     let mut bytes = BytesMut::new();
     // Nothing is read with this one.
@@ -82,6 +77,18 @@
     }
 }
 
+fn refusal(code: &'static str, message: &str) -> Error {
+    Error {
+        code,
+        message: message.to_string(),
+        hint: Some("try again in 1000 ms".to_string()),
+    }
+}
+
+fn draining() -> Error {
+    refusal("57P03", "this dispatcher takes no more work; nothing ran")
+}
+
 struct Session {
     wire: Wire,
     shared: Shared,
@@ -199,11 +206,18 @@
     async fn query(&mut self, text: Bytes) -> io::Result<bool> {
         let came = Instant::now();
         if is_empty(&text) {
-            self.wire.feed(Say::Empty).await?;
+            // The platform's front asks in this way whether the dispatcher takes work.
+            let told = if self.leave.ready() {
+                Say::Empty
+            } else {
+                Say::Error(draining())
+            };
+            self.wire.feed(told).await?;
             self.wire.send(Say::Ready).await?;
             return Ok(true);
         }
-        let request = statement::read(&text, came, &self.shared.names, Some(self.key));
+        let tuning = self.shared.desk.tuning();
+        let request = statement::read(&text, came, &tuning.names, Some(self.key));
         let answer = match request {
             Ok(request) => {
                 // One that must give way at this moment has sent nothing on.
--- a/leases/src/counts.rs
+++ b/leases/src/counts.rs
@@ -17,6 +17,11 @@
         }
     }
 
+    /// So many from now on; a shard that has more gives them back as it renews.
+    pub fn retune(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Renews a shard's lease, of which it uses so many, and gives the new one: what it uses, and its part
     /// of what is free. It is less than what is used only where the shard has gone beyond its lease.
     pub fn renew(&mut self, shard: usize, used: usize) -> usize {
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Takes other terms for the same shards.
+    pub fn retune(&mut self, terms: Terms) {
+        self.open.retune(terms.open);
+        self.terms = terms;
+    }
+
     /// How many leases were void before they were settled.
     pub fn voided(&self) -> u64 {
         self.voided
--- a/operation/src/figures.rs
+++ b/operation/src/figures.rs
@@ -77,11 +77,14 @@
     }
 
     /// A request of this class is taken.
-    pub fn take(&self, class: &Arc<str>) -> Running {
-        self.count(class, |counts| counts.taken += 1);
+    pub fn take(&self, class: &str) -> Running {
+        let mut state = self.state();
+        let known = state.classes.get_key_value(class);
+        let class = known.map_or_else(|| class.into(), |(class, _)| class.clone());
+        state.classes.entry(class.clone()).or_default().taken += 1;
         Running {
             figures: self.clone(),
-            class: class.clone(),
+            class,
             counted: false,
         }
     }
@@ -246,8 +249,7 @@
     fn the_figures_stand_under_the_names_that_staff_look_for() {
         let figures = Figures::default();
         figures.class("report");
-        let lookup: Arc<str> = "lookup".into();
-        let running: Vec<Running> = (0..6).map(|_| figures.take(&lookup)).collect();
+        let running: Vec<Running> = (0..6).map(|_| figures.take("lookup")).collect();
         let mut running = running.into_iter();
         let mut next = || running.next().expect("there are six");
         next().ended(Disposition::Succeeded);
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -4,18 +4,20 @@
 //! A request goes to the shard that its id names, so that shards get the same mixture whatever connection
 //! it came on; a shard that has been silent for a while gets nothing, as long as there is another.
 
+use crate::clock::{duration, span};
 use crate::standing::Standing;
 use crate::{
     Answer, Asked, BrokerBox, Denied, Failure, Listing, NewRequest, Pending, SessionKey, Target,
     ToBroker, Told,
 };
-use sedgebeam_core::{RequestId, mix};
+use sedgebeam_core::{Effect, Micros, RequestId, Tenant, mix};
 use sedgebeam_operation::Figures;
+use sedgebeam_retune::{Table, Tuning};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
-use tokio::sync::{Mutex, oneshot};
-use tokio::time::timeout;
+use tokio::sync::{Mutex, oneshot, watch};
+use tokio::time::{sleep, timeout};
 
 /// A broker beats so often while there are several.
 pub const BEAT: Duration = Duration::from_millis(20);
@@ -24,23 +26,6 @@
 /// What a silent broker would tell is not waited for any longer.
 const TELLS_WITHIN: Duration = Duration::from_millis(500);
 
-/// What the desk knows of a class.
-#[derive(Clone, Debug)]
-pub struct Class {
-    pub name: Arc<str>,
-    /// Whether one that was with a broker that died may be repeated by anyone; others may have run.
-    pub repeatable: bool,
-}
-
-/// What is counted at the desk, and what clients are told of requests that were with a broker that died.
-#[derive(Clone, Default)]
-pub struct Terms {
-    pub classes: Vec<Class>,
-    /// When a request that did not run may be repeated.
-    pub retry_after: Duration,
-    pub figures: Figures,
-}
-
 struct Slot {
     mailbox: RwLock<Option<BrokerBox>>,
     /// When its broker last showed that it runs, in milliseconds since the desk's start.
@@ -49,7 +34,9 @@
 
 struct Shared {
     slots: Vec<Slot>,
-    terms: Terms,
+    figures: Figures,
+    /// The settings that hold at all brokers.
+    tuning: RwLock<Arc<Tuning>>,
     /// Clients choose their ids: without it one could have all that it asks land on one shard.
     seed: u64,
     began: Instant,
@@ -68,7 +55,7 @@
 
 impl Desk {
     /// A desk before so many brokers, none of which has come yet.
-    pub fn new(shards: usize, seed: u64, terms: Terms) -> Desk {
+    pub fn new(shards: usize, seed: u64, figures: Figures, tuning: Tuning) -> Desk {
         let slot = |_| Slot {
             mailbox: RwLock::new(None),
             beat: AtomicU64::new(0),
@@ -76,10 +63,11 @@
         Desk {
             shared: Arc::new(Shared {
                 slots: (0..shards).map(slot).collect(),
-                terms,
+                figures,
+                tuning: RwLock::new(Arc::new(tuning.clone())),
                 seed,
                 began: Instant::now(),
-                standing: Mutex::default(),
+                standing: Mutex::new(Standing::new(Table::new(tuning))),
             }),
         }
     }
@@ -115,6 +103,10 @@
     /// A broker has come: it is told what holds, and then takes requests.
     pub async fn open(&self, shard: usize, mailbox: BrokerBox) -> Result<(), Closed> {
         let standing = self.shared.standing.lock().await;
+        // The settings first: what follows is told in their numbers.
+        let (held, _) = oneshot::channel();
+        let retune = ToBroker::Retune(self.tuning(), held);
+        mailbox.send(retune).await.map_err(|_| Closed)?;
         let list = ToBroker::List(Listing::Saved, standing.targets());
         mailbox.send(list).await.map_err(|_| Closed)?;
         for asked in standing.replay() {
@@ -153,15 +145,15 @@
     /// Hands a request over; the answer is waited for on what this returns.
     pub async fn submit(&self, request: NewRequest) -> Pending {
         let (reply, answer) = oneshot::channel();
-        let terms = &self.shared.terms;
-        let class = terms.classes.get(request.class.0);
+        let tuning = self.tuning();
+        let class = tuning.settings.classes.get(request.class.0);
         let lost = match class {
-            Some(class) if class.repeatable => Answer::Refused {
-                retry_after: terms.retry_after,
+            Some(class) if class.effect == Effect::Repeatable => Answer::Refused {
+                retry_after: duration(tuning.settings.max_retry_after),
             },
             _ => Answer::Failed(Failure::Ending),
         };
-        let running = class.map(|class| terms.figures.take(&class.name));
+        let running = class.map(|class| self.shared.figures.take(&class.name));
         let mailbox = self.mailbox_for(request.id);
         let pending = Pending::new(request.id, answer, mailbox.clone(), lost, running);
         if let Some(mailbox) = mailbox {
@@ -198,9 +190,82 @@
         if ended { Err(Closed) } else { Ok(()) }
     }
 
+    /// The settings that hold, and the names that requests may use.
+    pub fn tuning(&self) -> Arc<Tuning> {
+        let tuning = self.shared.tuning.read();
+        tuning.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Has all brokers take new settings; false, and nothing changes, where there is no room for them.
+    pub async fn retune(&self, told: &Tuning) -> bool {
+        let mut standing = self.shared.standing.lock().await;
+        if standing.table.retune(self.micros(), told).is_none() {
+            return false;
+        }
+        self.spread(&standing.table).await;
+        true
+    }
+
+    /// Forgets the names that have had their time, now and whenever one has; for ever.
+    pub async fn forget_names(&self, mut changed: watch::Receiver<()>) {
+        loop {
+            let mut standing = self.shared.standing.lock().await;
+            if standing.table.expire(self.micros()) {
+                self.spread(&standing.table).await;
+            }
+            let next = standing.table.next_expiry();
+            drop(standing);
+            let wait = next.map(|next| duration(next - self.micros()));
+            tokio::select! {
+                changed = changed.changed() => if changed.is_err() { return },
+                () = sleep(wait.unwrap_or_default()), if wait.is_some() => {}
+            }
+        }
+    }
+
+    fn micros(&self) -> Micros {
+        span(self.shared.began.elapsed())
+    }
+
+    /// Tells all brokers of the settings first, and only then those who take requests: no request names what
+    /// its broker does not know. A silent broker is not waited for; its mailbox keeps the order.
+    async fn spread(&self, table: &Table) {
+        let tuning = Arc::new(table.tuning().clone());
+        let told = self.all().map(|mailbox| {
+            let (held, done) = oneshot::channel();
+            let retune = ToBroker::Retune(tuning.clone(), held);
+            async move {
+                // One that has died is told when another takes its place.
+                if mailbox.send(retune).await.is_ok() {
+                    let _ = timeout(TELLS_WITHIN, done).await;
+                }
+            }
+        });
+        futures::future::join_all(told).await;
+        for class in &tuning.settings.classes {
+            self.shared.figures.class(&class.name);
+        }
+        *self
+            .shared
+            .tuning
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = tuning;
+    }
+
     /// Asks all brokers, and adds up what they tell.
     pub async fn ask(&self, asked: Asked) -> Result<Told, Denied> {
         let mut standing = self.shared.standing.lock().await;
+        if let Asked::SetTenant(name, share, per_second) = &asked {
+            let tenant = Tenant {
+                name: name.clone(),
+                share: *share,
+                per_second: *per_second,
+            };
+            if !standing.table.set_tenant(&tenant) {
+                return Err(Denied::Invalid("there are too many tenants".to_string()));
+            }
+            self.spread(&standing.table).await;
+        }
         let asking = self.all().map(|mailbox| ask(mailbox, asked.clone()));
         let told = futures::future::join_all(asking).await;
         let mut sum: Option<Told> = None;
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use administration::{Answers, Asked, Counters, Denied, EngineRow, Health, TenantRow, Told};
 pub use answer::{Answer, Broken, Delivery, Failure, Pending};
-pub use desk::{BEAT, Class, Closed, Desk, Terms};
+pub use desk::{BEAT, Closed, Desk};
 pub use engine::{Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine};
 pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker};
 pub use roster::{Listing, Target, apply};
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -3,6 +3,8 @@
 use crate::{Answer, Asked, Denied, Listing, Report, Target, Told};
 use bytes::Bytes;
 use sedgebeam_core::{ClassId, EngineId, GroupId, Micros, RequestId};
+use sedgebeam_retune::Tuning;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -36,5 +38,7 @@
     Engine(EngineId, Report),
     EngineDied(EngineId),
     List(Listing, Vec<Target>),
+    /// New settings; the sender is dropped once they hold.
+    Retune(Arc<Tuning>, oneshot::Sender<()>),
     Admin(Asked, oneshot::Sender<Result<Told, Denied>>),
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -128,9 +128,10 @@
     pub max_open: usize,
 }
 
-/// Where a name stands in a list of names.
+/// Where a name stands in a list of names; an empty one is none.
 pub fn place(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|known| known == name)
+    let mut places = names.iter();
+    places.position(|known| known == name && !name.is_empty())
 }
 
 pub fn micros(millis: f64) -> Micros {
@@ -232,6 +233,11 @@
         }
     }
 
+    /// The attempts allowed, where told.
+    pub fn attempts(&self) -> Option<u32> {
+        self.limits.as_ref()?.max_attempts
+    }
+
     /// The longest that clients stay away on advice, where a front gives them any.
     pub fn longest_advice(&self) -> Micros {
         let limits = self.limits.as_ref();
@@ -258,6 +264,7 @@
             stream: service.stream.unwrap_or_default(),
             only_kinds: only_kinds.map(|places| places.into_iter().map(KindId).collect()),
             only_zones: only_zones.map(|places| places.into_iter().map(ZoneId).collect()),
+            retired: false,
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -87,7 +87,7 @@
 }
 
 /// A class of query.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     pub name: String,
     pub worth: f64,
@@ -112,6 +112,8 @@
     /// Where given, the only kinds, or zones, it may be sent to.
     pub only_kinds: Option<Vec<KindId>>,
     pub only_zones: Option<Vec<ZoneId>>,
+    /// It has vanished from the settings, or has other terms there: what is under way of it ends as it began.
+    pub retired: bool,
 }
 
 #[derive(Clone, Debug, Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 mod interface;
 mod parts;
 mod policy;
+mod retune;
 mod scale;
 mod state;
 mod warming;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -136,7 +136,7 @@
     pub(crate) small_part: bool,
     /// How many times its part of the fleet this gateway may have out.
     pub(crate) multiple: Multiple,
-    rests: Rests,
+    pub(crate) rests: Rests,
     /// Mean worth of what is asked.
     worth: Mean,
     /// Thread time and time of what was answered: their ratio is the threads of a query out.
@@ -174,21 +174,6 @@
         }
     }
 
-    /// Takes other shares; a tenant keeps its place, and new ones come behind those that are known.
-    pub fn set_tenants(&mut self, tenants: Vec<Tenant>) {
-        let (old, unknown) = (self.settings.tenants.len(), tenants.len());
-        self.queues.widen(unknown + 1);
-        for request in self
-            .requests
-            .values_mut()
-            .filter(|request| request.tenant == old)
-        {
-            request.tenant = unknown;
-        }
-        self.tenant_credit = vec![Credit::new(shares(&tenants)); self.settings.classes.len()];
-        self.settings.tenants = tenants;
-    }
-
     /// Takes what happened and returns what to do, in order.
     pub fn handle(&mut self, now: Micros, events: Vec<Event>) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -348,7 +333,8 @@
         }
         let unknown = self.settings.tenants.len();
         let tenant = query.tenant.map_or(unknown, |tenant| tenant.0.min(unknown));
-        let request = Request::new(query, tenant, settings.threads, self.now);
+        let allowed = self.settings.attempts_allowed();
+        let request = Request::new(query, tenant, settings.threads, allowed, self.now);
         self.requests.insert(id, request);
         self.arrived.push(id);
         self.ask(id);
@@ -412,7 +398,7 @@
 
     /// Whether a draw of the class holds little beside one of the heaviest class.
     fn light(&self, class: usize) -> bool {
-        let held = (0..self.settings.classes.len()).map(|class| self.held(class));
+        let held = self.settings.in_use().map(|class| self.held(class));
         self.held(class) < LIGHT_DRAW * held.fold(0.0, f64::max)
     }
 
@@ -731,13 +717,12 @@
 
     fn attempts_allow(&self, request: &Request) -> bool {
         let (made, out) = (request.attempts.len(), request.attempts_out());
-        let most = self.settings.max_attempts as usize;
         let copies = usize::from(self.settings.second_copies);
         let rationed = self.settings.attempt_budget.is_some_and(|budget| {
             let made = self.extra.count(self.now, budget.window) + 1.0;
             made > budget.free + budget.per_request * self.taken.count(self.now, budget.window)
         });
-        (most == 0 || made < most) && out <= copies && (made == 0 || !rationed)
+        made < request.attempts_allowed && out <= copies && (made == 0 || !rationed)
     }
 
     // ---- 8. Attempts ----
@@ -772,7 +757,7 @@
 
     /// Memory by need; as priority the rank by worth for thread time, least at the usual one.
     fn terms(&self, request: &Request) -> Action {
-        let classes = 0..self.settings.classes.len();
+        let classes = self.settings.in_use();
         let worth = |class: usize| self.settings.classes[class].worth / self.held(class);
         let own = worth(request.class);
         let less = classes.filter(|class| worth(*class) < own).count();
@@ -999,8 +984,7 @@
     /// Calls an attempt off so that another takes its place, where the class and the limits allow.
     fn replan(&mut self, id: RequestId, number: AttemptNo) -> Option<()> {
         let request = self.requests.get(&id)?;
-        let most = self.settings.max_attempts as usize;
-        let room = most == 0 || request.attempts.len() < most;
+        let room = request.attempts.len() < request.attempts_allowed;
         let effect = self.settings.classes[request.class].effect;
         if room && matches!(effect, Effect::Repeatable | Effect::Keyed(Group::All)) {
             self.call_off(id, number);
--- a/src/scale.rs
+++ b/src/scale.rs
@@ -49,7 +49,7 @@
     /// A gateway's part of an engine is less than its heaviest query: its own counts say next to nothing of
     /// the engine's load, and what is told must.
     pub(crate) fn small_part(&self) -> bool {
-        let threads = self.classes.iter().map(|class| class.threads);
+        let threads = self.in_use().map(|place| self.classes[place].threads);
         let heaviest = threads.fold(1.0, f64::max);
         self.most_cores() * THREADS_PER_CORE < heaviest * self.all_gateways()
     }
@@ -67,7 +67,8 @@
     /// Rests of engines that are tried with the lightest query.
     pub(crate) fn rests(&self) -> Rests {
         let work = |class: &Class| class.threads.max(1.0) * class.on_time.0 as f64 / 1e6;
-        let lightest = self.classes.iter().map(work).fold(f64::MAX, f64::min) * LIGHTEST_PART;
+        let classes = self.in_use().map(|place| &self.classes[place]);
+        let lightest = classes.map(work).fold(f64::MAX, f64::min) * LIGHTEST_PART;
         let (gateways, cores) = (self.all_gateways(), self.most_cores());
         Rests::new(gateways, cores, lightest, self.small_part())
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,8 @@
     pub ready_at: Micros,
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
+    /// The fewest that were allowed since it came.
+    pub attempts_allowed: usize,
     pub queued: bool,
     /// Its final answer has been given; it stays known while an attempt is out.
     pub over: bool,
@@ -50,7 +52,13 @@
 }
 
 impl Request {
-    pub fn new(query: Query, tenant: usize, threads: f64, now: Micros) -> Request {
+    pub fn new(
+        query: Query,
+        tenant: usize,
+        threads: f64,
+        attempts_allowed: usize,
+        now: Micros,
+    ) -> Request {
         Request {
             class: query.class.0,
             tenant,
@@ -60,6 +68,7 @@
             deadline: now + query.remaining,
             query,
             attempts: Vec::new(),
+            attempts_allowed,
             queued: false,
             over: false,
             streaming: false,
@@ -276,8 +285,9 @@
         }
     }
 
-    /// Makes lines for so many tenants; the last stays that of no known tenant.
-    pub fn widen(&mut self, tenants: usize) {
+    /// Makes lines for so many classes and tenants; the last stays that of no known tenant.
+    pub fn widen(&mut self, classes: usize, tenants: usize) {
+        self.lines.resize_with(classes, Vec::new);
         for lines in &mut self.lines {
             let unknown = lines.pop().unwrap_or_default();
             lines.resize_with(tenants - 1, VecDeque::new);
--- a/src/warming.rs
+++ b/src/warming.rs
@@ -66,11 +66,13 @@
         let warming = settings.warming();
         let works = (0..settings.classes.len()).map(|class| self.weight(class));
         let works: Vec<f64> = works.collect();
-        let asked = self.usual.iter().zip(&works);
+        let asked = self.usual.iter().zip(&works).zip(&settings.classes);
         // One of each class is taken for asked already: a gateway that has just started knows of none.
-        let asked: Vec<f64> = asked
-            .map(|(usual, work)| (usual.taken + 1.0) * work)
-            .collect();
+        let asked = asked.map(|((usual, work), class)| match class.retired {
+            true => 0.0,
+            false => (usual.taken + 1.0) * work,
+        });
+        let asked: Vec<f64> = asked.collect();
         let all = asked.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let classes = asked.iter().map(|part| part / all).zip(works);
         let classes: Vec<(f64, f64)> = classes.collect();
--- /dev/null
+++ b/tests/retune.rs
@@ -0,0 +1,112 @@
+//! New settings while requests are under way.
+
+mod common;
+
+use common::*;
+use sedgebeam_core::*;
+
+fn with_attempts(max_attempts: u32) -> Settings {
+    Settings {
+        max_attempts,
+        ..settings()
+    }
+}
+
+/// How often a request is sent whose every attempt ends in an error, with other settings after the first.
+fn sends_in_all(before: Settings, after: Settings, class: usize) -> usize {
+    let mut bench = Bench::with_engines(before, 4);
+    let mut to = sent_to(&bench.request(1, class));
+    bench.gateway.retune(after);
+    let mut count = 0;
+    while let Some(engine) = to {
+        count += 1;
+        to = sent_to(&bench.ends(1, count as u32 - 1, engine, Outcome::Error));
+    }
+    count
+}
+
+#[test]
+fn a_request_has_the_fewest_attempts_that_were_allowed_since_it_came() {
+    for (before, after, sends) in [
+        (3, 3, 3),
+        (3, 1, 1),
+        (3, 2, 2),
+        (2, 5, 2),
+        (0, 2, 2),
+        (2, 0, 2),
+    ] {
+        let sent = sends_in_all(with_attempts(before), with_attempts(after), LIGHT);
+        assert_eq!(sent, sends, "{before} attempts, then {after}");
+    }
+}
+
+#[test]
+fn a_request_ends_under_the_effect_under_which_it_was_taken() {
+    // The light class vanishes, and another of its name, which must never run twice, stands behind the others.
+    let mut after = settings();
+    let once = Class {
+        effect: Effect::Once,
+        ..after.classes[LIGHT].clone()
+    };
+    after.classes[LIGHT].retired = true;
+    after.classes.push(once);
+    assert_eq!(sends_in_all(settings(), after.clone(), LIGHT), 5);
+    let mut bench = Bench::with_engines(settings(), 4);
+    bench.gateway.retune(after);
+    let to = sent_to(&bench.request(2, 3)).expect("the new class is served");
+    assert!(failed(&bench.ends(2, 0, to, Outcome::Error), 2));
+}
+
+#[test]
+fn what_waits_is_sent_and_answered_after_classes_and_tenants_have_come() {
+    let mut bench = Bench::new(settings());
+    for (id, class) in [(1, LIGHT), (2, HEAVY), (3, LOAD)] {
+        assert_eq!(bench.request(id, class), vec![]);
+    }
+    let mut after = settings();
+    after.classes.push(class(5.0, 2.0, 1000, 5000));
+    after.tenants = vec![Tenant {
+        name: "firm".to_string(),
+        share: 1.0,
+        per_second: 0.0,
+    }];
+    bench.gateway.retune(after);
+    let mut newcomer = query(4, 3);
+    newcomer.tenant = Some(TenantId(0));
+    bench.on(Event::Request(newcomer));
+    let mut sent = sends(&bench.list((1..=4).map(engine).collect()));
+    sent.sort();
+    assert_eq!(
+        sent.iter().map(|(id, _)| *id).collect::<Vec<_>>(),
+        [1, 2, 3, 4]
+    );
+    for (id, engine) in sent {
+        bench.ends(id, 0, engine, Outcome::Ok);
+    }
+    assert_eq!(bench.wait(20_000), vec![], "nothing is left of them");
+}
+
+/// Guards against a load that is let go as none: its table group would stay held on its engine for ever.
+#[test]
+fn a_load_that_is_retired_lets_its_group_go() {
+    let mut bench = Bench::with_engines(settings(), 1);
+    let load = Query {
+        group: GroupId(7),
+        ..query(1, LOAD)
+    };
+    assert_eq!(sent_to(&bench.on(Event::Request(load))), Some(1));
+    let mut after = settings();
+    after.classes[LOAD].retired = true;
+    after.classes.push(Class {
+        holds_group: true,
+        ..class(15.0, 2.0, 3000, 25000)
+    });
+    bench.gateway.retune(after);
+    let next = Query {
+        group: GroupId(7),
+        ..query(2, 3)
+    };
+    assert_eq!(sent_to(&bench.on(Event::Request(next))), None, "it is held");
+    let done = bench.ends(1, 0, 1, Outcome::Ok);
+    assert_eq!(sends(&done), [(2, 1)]);
+}
