--- /dev/null
+++ b/operation/tests/drain.rs
@@ -0,0 +1,310 @@
+//! The drain under any order of calls, signals, clients and time, held against the words of the platform's page.
+
+use proptest::prelude::*;
+use sedgebeam_operation::drain::goes_at;
+use sedgebeam_operation::{Drain, Kept, Newcomers, Orders};
+use std::time::Duration;
+
+/// From so long after LAMEDUCK no connection may be idle, or hold a request of the time before.
+const AWAY: Duration = Duration::from_secs(4);
+const LATELY: Duration = Duration::from_secs(2);
+/// The front may connect for so long after the call: it asks every 0.1 s, and goes on for 0.2 s.
+const COMING: Duration = Duration::from_millis(300);
+/// After SIGTERM requests on kept connections go on for so long, as new connections do at most.
+const AFTER_TERM: Duration = Duration::from_millis(600);
+/// By then idle connections go, whatever comes.
+const LAST: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Prepared,
+    LameDuck,
+    Rejoin,
+    End,
+    Connect(f64),
+    /// A connection begins a request, or ends it.
+    Begin(usize),
+    Answer(usize),
+    Passes(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::LameDuck),
+        1 => Just(Step::Rejoin),
+        1 => Just(Step::Prepared),
+        1 => prop::bool::weighted(0.2).prop_map(|ends| if ends { Step::End } else { Step::Rejoin }),
+        4 => (0.0..1.0).prop_map(Step::Connect),
+        6 => (0usize..8).prop_map(Step::Begin),
+        5 => (0usize..8).prop_map(Step::Answer),
+        8 => (1u64..900).prop_map(Step::Passes),
+    ]
+}
+
+struct Session {
+    came: Duration,
+    draw: f64,
+    /// When its request began, while it has one.
+    busy: Option<Duration>,
+}
+
+/// What a double does with the orders of the real one.
+type Bends = fn(Orders, Duration) -> Orders;
+
+/// A dispatcher whose sessions obey the drain.
+struct House {
+    drain: Drain,
+    passed: bool,
+    bends: Bends,
+    now: Duration,
+    sessions: Vec<Session>,
+    prepared: bool,
+    called: Option<Duration>,
+    ended: Option<Duration>,
+}
+
+impl House {
+    fn orders(&self) -> Orders {
+        (self.bends)(self.drain.orders(self.now), self.now)
+    }
+
+    /// Sessions go as they must, and what holds at this moment is checked.
+    fn settle(&mut self) -> Result<(), String> {
+        let (now, kept) = (self.now, self.orders().kept);
+        self.sessions.retain(|session| {
+            let goes = match kept {
+                Kept::Stay => false,
+                Kept::Leave(since) => now >= goes_at(session.came, since, session.draw),
+                Kept::Go => true,
+            };
+            session.busy.is_some() || !goes
+        });
+        let ready = self.prepared && self.called.is_none() && self.ended.is_none();
+        if self.orders().ready != ready {
+            return Err(format!("it says {} at {now:?}", self.orders().ready));
+        }
+        let away = self.called.filter(|called| now >= *called + AWAY);
+        let held = self
+            .sessions
+            .iter()
+            .find(|session| session.busy.is_none_or(|began| began + LATELY > now));
+        if let (Some(called), Some(held)) = (away, held) {
+            return Err(format!(
+                "called at {called:?}, it holds {:?} at {now:?}",
+                held.busy
+            ));
+        }
+        Ok(())
+    }
+
+    fn connect(&mut self, draw: f64) -> Result<(), String> {
+        let newcomers = self.orders().newcomers;
+        let coming = match (self.ended, self.called) {
+            (Some(ended), _) if self.passed => {
+                let left = newcomers == Newcomers::Left;
+                return if left {
+                    Ok(())
+                } else {
+                    Err(format!("ended at {ended:?}, it accepts"))
+                };
+            }
+            (Some(ended), None) => self.now < ended + AFTER_TERM,
+            (Some(_), Some(_)) => false,
+            (None, Some(called)) => self.now < called + COMING,
+            (None, None) => self.prepared,
+        };
+        match newcomers {
+            Newcomers::Taken => self.sessions.push(Session {
+                came: self.now,
+                draw,
+                busy: None,
+            }),
+            _ if coming => return Err(format!("a client that may come is {newcomers:?}")),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Time passes in the steps at which the drain says that something changes, or a session goes.
+    fn pass(&mut self, until: Duration) -> Result<(), String> {
+        while self.now < until {
+            let kept = self.orders().kept;
+            let going = self.sessions.iter().filter_map(|session| match kept {
+                Kept::Leave(since) => Some(goes_at(session.came, since, session.draw)),
+                _ => None,
+            });
+            // The page's own moments are looked at whatever the drain says.
+            let looks = [
+                self.called.map(|at| at + AWAY),
+                self.drain.next_change(self.now),
+            ];
+            let next = going
+                .chain(looks.into_iter().flatten())
+                .filter(|at| *at > self.now);
+            let next = next.min().unwrap_or(until).min(until);
+            let before = self.drain.orders(self.now);
+            let just_before = next.saturating_sub(Duration::from_nanos(1)).max(self.now);
+            if self.drain.orders(just_before) != before {
+                return Err(format!(
+                    "orders change before {next:?}, of which nobody was told"
+                ));
+            }
+            self.now = next;
+            self.settle()?;
+        }
+        Ok(())
+    }
+}
+
+/// Plays the steps; what the page forbids first.
+fn play(steps: &[Step], passed: bool, bends: Bends) -> Result<(), String> {
+    let mut house = House {
+        drain: Drain::new(passed),
+        passed,
+        bends,
+        now: Duration::ZERO,
+        sessions: Vec::new(),
+        prepared: false,
+        called: None,
+        ended: None,
+    };
+    for step in steps {
+        let now = house.now;
+        match *step {
+            Step::Prepared => {
+                house.drain.prepared();
+                house.prepared = true;
+            }
+            Step::LameDuck => {
+                house.drain.lame_duck(now);
+                house.called.get_or_insert(now);
+            }
+            Step::Rejoin => {
+                let rejoined = house.drain.rejoin();
+                if rejoined != house.ended.is_none() {
+                    return Err(format!("rejoined: {rejoined}"));
+                }
+                if rejoined {
+                    house.called = None;
+                }
+            }
+            Step::End => {
+                house.drain.end(now);
+                house.ended.get_or_insert(now);
+            }
+            Step::Connect(draw) => house.connect(draw)?,
+            Step::Begin(place) => {
+                let kept = house.sessions.len().max(1);
+                if let Some(session) = house.sessions.get_mut(place % kept) {
+                    session.busy.get_or_insert(now);
+                }
+            }
+            Step::Answer(place) => {
+                let (kept, stays) = (house.sessions.len().max(1), house.orders().kept);
+                if let Some(session) = house.sessions.get_mut(place % kept)
+                    && session.busy.take().is_some()
+                    && stays != Kept::Stay
+                {
+                    house.sessions.remove(place % kept);
+                }
+            }
+            Step::Passes(millis) => house.pass(now + Duration::from_millis(millis))?,
+        }
+        house.settle()?;
+    }
+    let (over, kept) = (house.orders().over, house.orders().kept);
+    let since = house.ended.map(|ended| house.now - ended);
+    if over && since.is_none_or(|since| since < AFTER_TERM) {
+        return Err("over while requests may come".to_string());
+    }
+    if since.is_some_and(|since| since >= LAST) && !(over && kept == Kept::Go) {
+        return Err("it does not end".to_string());
+    }
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn no_order_of_events_breaks_a_rule_of_the_page(
+        steps in prop::collection::vec(step(), 1..60),
+        passed in any::<bool>(),
+    ) {
+        prop_assert_eq!(play(&steps, passed, |orders, _| orders), Ok(()));
+    }
+}
+
+#[test]
+fn doubles_that_break_a_rule_are_caught() {
+    let passes = Step::Passes(850);
+    let lame_duck = [
+        Step::Prepared,
+        Step::Connect(0.6),
+        Step::Connect(0.9),
+        Step::LameDuck,
+        passes,
+        Step::Begin(0),
+        passes,
+        passes,
+        passes,
+        passes,
+        Step::Rejoin,
+        Step::Connect(0.1),
+    ];
+    let coming = [
+        Step::Prepared,
+        Step::LameDuck,
+        Step::Passes(200),
+        Step::Connect(0.5),
+    ];
+    let ending = [
+        Step::Prepared,
+        Step::End,
+        passes,
+        Step::Connect(0.5),
+        passes,
+    ];
+    for steps in [&lame_duck[..], &coming, &ending] {
+        assert_eq!(play(steps, true, |orders, _| orders), Ok(()));
+    }
+    let doubles: [(&str, &[Step], Bends); 6] = [
+        ("still says yes", &lame_duck, |orders, _| Orders {
+            ready: true,
+            ..orders
+        }),
+        ("never says yes again", &lame_duck, |orders, now| Orders {
+            ready: orders.ready && now < Duration::from_secs(1),
+            ..orders
+        }),
+        ("keeps idle ones", &lame_duck, |orders, _| Orders {
+            kept: Kept::Stay,
+            ..orders
+        }),
+        ("lets them go late", &lame_duck, |orders, _| {
+            match orders.kept {
+                Kept::Stay => orders,
+                _ => Orders {
+                    kept: Kept::Leave(LATELY + LAST),
+                    ..orders
+                },
+            }
+        }),
+        (
+            "turns away who may come",
+            &coming,
+            |orders, _| match orders.ready {
+                false => Orders {
+                    newcomers: Newcomers::TurnedAway,
+                    ..orders
+                },
+                true => orders,
+            },
+        ),
+        ("accepts what is another's", &ending, |orders, _| Orders {
+            newcomers: Newcomers::Taken,
+            ..orders
+        }),
+    ];
+    for (fault, steps, bends) in doubles {
+        assert!(play(steps, true, bends).is_err(), "{fault}");
+    }
+}
