Hand over between the two processes of an upgrade, and keep the sum of one dispatcher

Change: package handover (shares, and who may do what; no I/O), beside.rs (files under TMPDIR, a lock that says who lives), roster as a package, the module's held_over, take_over, beside and last_call, limits divided while two live, answers before SIGKILL, session keys of their own for each process, listeners of the own file that wait for their addresses. A new process begins with the settings in use where the file on disk would not be taken.

A process that ends and sees no other might still send to cold engines while the next one had come: found by a test of all orders of lives, ends and looks; one that ends sends nothing there.

104 upgrades by seed with kills and stops under load lose nothing but what a killed process held.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -13,8 +13,8 @@
 use parts::Part;
 use requests::{Open, Out};
 use sedgebeam_core::{
-    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, ListKind,
-    Micros, Outcome, Query, RequestId, Settings, TimerId,
+    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, Held,
+    ListKind, Micros, Outcome, Query, RequestId, Settings, TimerId,
 };
 use sedgebeam_operation::{Figures, figures};
 use sedgebeam_port::clock::{Clock, duration, span};
@@ -329,6 +329,17 @@
             }
             ToBroker::EngineDied(engine) => self.engine_died(engine),
             ToBroker::List(listing, targets) => self.list(listing, targets),
+            ToBroker::HeldOver(reply) => {
+                // Whoever asked may have gone.
+                let _ = reply.send(self.gateway.held_over());
+            }
+            ToBroker::TakeOver(held) => {
+                // The gateway must know of the engines first.
+                self.batch(Instant::now());
+                self.gateway.take_over(&held);
+            }
+            ToBroker::Beside(held, may_warm) => self.beside(&held, may_warm),
+            ToBroker::LastCall => self.events.push(Event::LastCall),
             // Whoever told of them waits for the sender to be dropped.
             ToBroker::Retune(tuning, _held) => self.retune(&tuning),
             ToBroker::Admin(asked, reply) => {
@@ -356,6 +367,14 @@
         self.list(Listing::Complete, targets.collect());
     }
 
+    /// Other processes of this dispatcher hold so much. Of several shards the ledger tells each what the others
+    /// hold, and it does not know of other processes.
+    fn beside(&mut self, held: &Held, may_warm: bool) {
+        let (now, nothing) = (self.clock.micros(Instant::now()), Held::default());
+        let held = if self.part.is_some() { &nothing } else { held };
+        self.gateway.beside(now, held, may_warm);
+    }
+
     // ---- Requests ----
 
     fn submit(&mut self, request: NewRequest, reply: oneshot::Sender<Answer>) {
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -8,7 +8,7 @@
 use sedgebeam_retune::Tuning;
 use sedgebeam_settings::{Connections, Facts, Names};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// The share of the descriptors that sessions may hold: the platform's clients hold a third.
 const SESSIONS_PART: f64 = 0.55;
@@ -62,8 +62,9 @@
     pub shards: usize,
     /// Descriptors that the process may hold.
     pub sockets: usize,
-    /// The platform's file as it was read.
+    /// The platform's file as it was read, and its text.
     pub file: Value,
+    pub text: String,
 }
 
 impl Config {
@@ -112,6 +113,8 @@
     pub config: Option<String>,
     pub control: Option<String>,
     pub passed: Option<String>,
+    /// Where temporary files go; not where the system would put them, as all dispatchers may share that.
+    pub folder: Option<PathBuf>,
 }
 
 impl Environment {
@@ -123,6 +126,7 @@
             config: value("PROXY_CONFIG"),
             control: value("PROXY_CONTROL"),
             passed: value("PROXY_PASSED_SOCKET"),
+            folder: value("TMPDIR").map(PathBuf::from),
         }
     }
 }
@@ -243,13 +247,18 @@
         let Some(path) = path else { return Ok(None) };
         let why = |why: &dyn std::fmt::Display| wrong(origin, format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|error| why(&error))?;
-        let root = json::from_str(&text).map_err(|_| why(&"not JSON"))?;
-        Ok(Some(File {
+        File::of(origin, path, text).map(Some)
+    }
+
+    fn of(origin: &'a str, path: &'a Path, text: String) -> Result<File<'a>, Wrong> {
+        let root = json::from_str(&text);
+        let root = root.map_err(|_| wrong(origin, format!("{}: not JSON", path.display())))?;
+        Ok(File {
             origin,
             path,
             text,
             root,
-        }))
+        })
     }
 
     /// Reads the keys of one kind from it.
@@ -359,14 +368,35 @@
 
 /// Reads the environment's file and the dispatcher's own; where both hold a key, the former counts.
 pub fn load(environment: &Environment, own: Option<&Path>) -> Result<Config, Wrong> {
+    let config = environment.config.as_deref().map(Path::new);
+    build(environment, File::read("PROXY_CONFIG", config)?, own)
+}
+
+/// The same from the text of the environment's file that an earlier process had in use.
+pub fn load_text(
+    environment: &Environment,
+    text: String,
+    own: Option<&Path>,
+) -> Result<Config, Wrong> {
+    let path = Path::new("the file in use before");
+    build(
+        environment,
+        Some(File::of("PROXY_CONFIG", path, text)?),
+        own,
+    )
+}
+
+fn build(
+    environment: &Environment,
+    config: Option<File>,
+    own: Option<&Path>,
+) -> Result<Config, Wrong> {
     if environment.config.is_none() && own.is_none() {
         return Err(wrong(
             "PROXY_CONFIG",
             "names no file, and there is no --config",
         ));
     }
-    let config = environment.config.as_deref().map(Path::new);
-    let config = File::read("PROXY_CONFIG", config)?;
     let own = File::read("--config", own)?;
     let platform: Shared = keys(config.as_ref())?;
     let fallback: Shared = keys(own.as_ref())?;
@@ -416,6 +446,9 @@
         pin_workers: own.pin_workers.unwrap_or_default(),
         shards,
         sockets,
+        text: config
+            .as_ref()
+            .map_or_else(String::new, |config| config.text.clone()),
         file: config.map_or(Value::Null, |config| config.root),
     })
 }
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -4,6 +4,7 @@
 //! change log and the module, whose actor is the broker.
 
 pub mod admin;
+pub mod beside;
 pub mod config;
 pub mod crew;
 pub mod door;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,8 +1,10 @@
 //! The command line of the dispatcher.
 
 use lexopt::prelude::*;
+use sedgebeam::beside::Folder;
 use sedgebeam::config::{self, Environment};
 use sedgebeam::reload::Source;
+use sedgebeam::serve::Beside;
 use sedgebeam::{import, serve};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -102,17 +104,40 @@
         Err(error) => return broken(&error),
     };
     let environment = Environment::read();
+    let beside = beside(&environment).await;
     let source = Source { environment, own };
-    let config = match source.load() {
+    let handed = beside.as_ref().and_then(|beside| beside.handed.as_ref());
+    let config = match handed.filter(|handed| !handed.stated.file.is_empty()) {
+        Some(handed) => source.load_beside(&handed.stated.file),
+        None => source.load(),
+    };
+    let config = match config {
         Ok(config) => config,
         Err(wrong) => return refuse(&wrong),
     };
-    match serve::run(config, source, signals).await {
+    match serve::run(config, source, signals, beside).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => broken(&error),
     }
 }
 
+/// Where the platform passes the clients' socket there may be another process of this dispatcher, in the folder that
+/// both have for temporary files.
+async fn beside(environment: &Environment) -> Option<Beside> {
+    environment.passed.as_ref()?;
+    let (folder, name) = (environment.folder.as_ref()?, environment.name.clone());
+    match Folder::join(folder, &name.unwrap_or_default()) {
+        Ok(folder) => {
+            let handed = folder.handed().await;
+            Some(Beside { folder, handed })
+        }
+        Err(error) => {
+            log::warn!("{}: alone, come what may: {error}", folder.display());
+            None
+        }
+    }
+}
+
 fn broken(error: &std::io::Error) -> ExitCode {
     eprintln!("sedgebeam: {error}");
     ExitCode::FAILURE
--- a/dispatcher/src/reload.rs
+++ b/dispatcher/src/reload.rs
@@ -4,13 +4,14 @@
 //! every other key takes a restart.
 
 use crate::config::{self, Config, Environment, Wrong, wrong};
-use miniserde::json::Value;
+use miniserde::json::{self, Value};
 use sedgebeam_operation::Figures;
 use sedgebeam_port::Desk;
 use sedgebeam_retune::{MOST_PLACES, file};
 use sedgebeam_settings::Connections;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -33,6 +34,24 @@
     pub fn load(&self) -> Result<Config, Wrong> {
         config::load(&self.environment, self.own.as_deref())
     }
+
+    /// The same at a start beside a process that has a file in use: what it would turn down is not begun with.
+    pub fn load_beside(&self, in_use: &str) -> Result<Config, Wrong> {
+        let running: Option<Value> = json::from_str(in_use).ok();
+        let lacks = |config: &Config| {
+            let running = running.as_ref();
+            running.and_then(|running| file::missing(running, &config.file, &SKIPPED))
+        };
+        let why = match self.load() {
+            Ok(config) => match lacks(&config) {
+                None => return Ok(config),
+                Some(key) => wrong(&key, "missing"),
+            },
+            Err(wrong) => wrong,
+        };
+        log::warn!("beginning with the configuration in use: {why}");
+        config::load_text(&self.environment, in_use.to_string(), self.own.as_deref())
+    }
 }
 
 /// What hears of a new configuration.
@@ -43,6 +62,8 @@
     pub desk: Desk,
     pub changelog: watch::Sender<Option<SocketAddr>>,
     pub connections: watch::Sender<Connections>,
+    /// The text of the file that is in use.
+    pub in_use: watch::Sender<Arc<str>>,
     /// Classes may have been retired.
     pub retired: watch::Sender<()>,
     pub figures: Figures,
@@ -102,6 +123,7 @@
             (true, None) => log::info!("taken; there is no change log from now on"),
         }
         self.running = config.file;
+        self.in_use.send_replace(config.text.into());
         Ok(())
     }
 }
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -40,12 +40,23 @@
     pub targets: Vec<Target>,
 }
 
+/// How far the change log has been heard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reached {
+    pub seq: u64,
+    /// It has told all that it had when it was asked.
+    pub caught_up: bool,
+}
+
 /// The longest line that the change log may write: a list of a few thousand engines.
 const MOST_LINE: usize = 1 << 20;
 /// A comment comes each second; after this long without a byte the connection is taken for dead.
 const SILENCE: Duration = Duration::from_millis(1800);
 /// The length of the line end behind a chunk.
 const CHUNK_END: usize = 2;
+/// What the change log has to tell of the time before it writes at once: after so long without an event, that
+/// was all.
+const CAUGHT_UP: Duration = Duration::from_millis(150);
 const CONNECT: Duration = Duration::from_millis(1000);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
@@ -60,10 +71,14 @@
 }
 
 /// Follows the change log for ever, wherever it is; where it is nowhere, that it is somewhere is waited for.
-pub async fn follow(mut address: watch::Receiver<Option<SocketAddr>>, mut seq: u64, desk: Desk) {
+pub async fn follow(
+    mut address: watch::Receiver<Option<SocketAddr>>,
+    reached: watch::Sender<Reached>,
+    desk: Desk,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
-        let before = seq;
+        let before = reached.borrow().seq;
         let Some(current) = *address.borrow_and_update() else {
             moved(&mut address).await;
             continue;
@@ -75,12 +90,12 @@
                 pause = FIRST_PAUSE;
                 continue;
             }
-            ended = listen(current, &mut seq, &desk) => match ended {
-                Ok(()) => log::info!("the change log ended the connection after {seq}"),
-                Err(error) => log::warn!("the change log after {seq}: {error}"),
+            ended = listen(current, &reached, &desk) => match ended {
+                Ok(()) => log::info!("the change log ended the connection after {}", reached.borrow().seq),
+                Err(error) => log::warn!("the change log after {}: {error}", reached.borrow().seq),
             },
         }
-        pause = if seq > before {
+        pause = if reached.borrow().seq > before {
             FIRST_PAUSE
         } else {
             (pause * 2).min(LONGEST_PAUSE)
@@ -100,37 +115,56 @@
 }
 
 /// One connection to the change log, until it ends.
-async fn listen(address: SocketAddr, seq: &mut u64, desk: &Desk) -> io::Result<()> {
+async fn listen(
+    address: SocketAddr,
+    reached: &watch::Sender<Reached>,
+    desk: &Desk,
+) -> io::Result<()> {
+    let seq = || reached.borrow().seq;
     let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no word for too long");
     let mut stream = timeout(CONNECT, TcpStream::connect(address))
         .await
         .map_err(late)??;
     stream.set_nodelay(true)?;
     let request = format!(
-        "GET /changes HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {seq}\r\n\r\n"
+        "GET /changes HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+        seq()
     );
     stream.write_all(request.as_bytes()).await?;
     let mut lines = FramedRead::new(stream, Events::default());
     // A gap shows on the connection on which it came: what follows is trusted only after a whole list.
-    while let Some(event) = timeout(SILENCE, lines.next()).await.map_err(late)? {
+    loop {
+        let event = match timeout(CAUGHT_UP, lines.next()).await {
+            Ok(event) => event,
+            Err(_) => {
+                reached.send_modify(|reached| reached.caught_up |= lines.decoder().begun);
+                timeout(SILENCE - CAUGHT_UP, lines.next())
+                    .await
+                    .map_err(late)?
+            }
+        };
+        let Some(event) = event else { return Ok(()) };
         let Some(change) = event? else { continue };
         // An event that is told again is an old state, also where it holds the whole list.
-        if change.seq <= *seq {
+        if change.seq <= seq() {
             continue;
         }
         let listing = change.listing();
-        if listing == Listing::Changes && change.seq > *seq + 1 {
-            let why = format!("{} follows {seq}: asking for the whole list", change.seq);
-            *seq = 0;
+        if listing == Listing::Changes && change.seq > seq() + 1 {
+            let why = format!(
+                "{} follows {}: asking for the whole list",
+                change.seq,
+                seq()
+            );
+            reached.send_modify(|reached| reached.seq = 0);
             return Err(io::Error::other(why));
         }
         if desk.list(listing, change.fleet.targets).await.is_err() {
             return Ok(());
         }
         // Only now: what is dropped while it waits for the broker has not been told.
-        *seq = change.seq;
+        reached.send_modify(|reached| reached.seq = change.seq);
     }
-    Ok(())
 }
 
 /// Decodes the answer of the change log: its head, and then its events; `None` for a sign of life.
--- /dev/null
+++ b/dispatcher/tests/upgrade.rs
@@ -0,0 +1,452 @@
+//! Upgrades under load: two processes of one dispatcher on one passed socket, one of which is killed, stopped or
+//! ended at a step drawn from a seed. No request may be lost but those that a killed process held.
+
+use sedgebeam_lab::{engine, wire};
+use std::io;
+use std::net::{SocketAddr, TcpListener as Bound};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// No verdict hangs on this: it only ends a test that would wait for ever.
+const HANGS: Duration = Duration::from_secs(60);
+const CLIENTS: usize = 12;
+/// A client asks so often, on average.
+const PACE: Duration = Duration::from_millis(15);
+
+const SETTINGS: &str = r#"{"balancers": 1, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
+  "domain": {"class_load": [false, true], "class_waits": [true, false], "threads_by_class": [1, 2],
+    "size_cores": [12], "size_mb": [24576.0], "tells_cost": true},
+  "limits": {"cancel": true, "max_attempts": 3, "max_streams": 32, "connect_timeout": 250.0,
+    "conn_idle": 30000.0, "max_retry_after": 1000.0},
+  "rules": {"answer_slack": 20.0, "drain_grace": 500.0},
+  "services": [
+    {"name": "lookup", "worth": 1.0, "on_time": 2000.0, "give_up": 4000.0, "effect": "repeatable"},
+    {"name": "journal-load", "worth": 12.0, "on_time": 2000.0, "give_up": 4000.0, "effect": "once"}]}"#;
+
+fn draw(seed: &mut u64) -> u64 {
+    *seed = sedgebeam_core::mix(*seed);
+    *seed
+}
+
+/// What became of requests, and when a serving process was killed.
+#[derive(Default)]
+struct Told {
+    served: AtomicU64,
+    refused: AtomicU64,
+    /// Sent on a kept connection as that was closed, and answered on another.
+    crossed: AtomicU64,
+    lost: Mutex<Vec<(Instant, Instant, String)>>,
+    kills: Mutex<Vec<Instant>>,
+    over: AtomicBool,
+}
+
+impl Told {
+    /// A process that may serve is about to be killed.
+    fn killed(&self) {
+        let mut kills = self.kills.lock().expect("nobody panicked");
+        kills.push(Instant::now());
+    }
+
+    /// Whether one was killed since then.
+    fn killed_since(&self, sent: Instant) -> bool {
+        let kills = self.kills.lock().expect("nobody panicked");
+        kills.iter().any(|at| sent <= *at)
+    }
+
+    /// Requests that were lost although nobody had killed a process that may have had them.
+    fn lost(&self) -> Vec<String> {
+        let kills = self.kills.lock().expect("nobody panicked").clone();
+        let lost = self.lost.lock().expect("nobody panicked");
+        let excused =
+            |sent: &Instant, ended: &Instant| kills.iter().any(|at| sent <= at && at <= ended);
+        let lost = lost.iter().filter(|(sent, ended, _)| !excused(sent, ended));
+        lost.map(|(_, _, why)| why.clone()).collect()
+    }
+}
+
+struct Kept {
+    stream: TcpStream,
+    bytes: bytes::BytesMut,
+}
+
+impl Kept {
+    async fn open(address: SocketAddr) -> io::Result<Kept> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        stream.write_all(&wire::startup()).await?;
+        let bytes = bytes::BytesMut::new();
+        let mut kept = Kept { stream, bytes };
+        kept.answer().await?;
+        Ok(kept)
+    }
+
+    /// Whether it has not been closed, as far as this end knows.
+    fn is_open(&self) -> bool {
+        let read = self.stream.try_read(&mut [0]);
+        read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// The SQLSTATE of an error, or none, up to the next word that the server is ready.
+    async fn answer(&mut self) -> io::Result<Option<String>> {
+        let mut state = None;
+        loop {
+            while let Some((kind, body)) = wire::message(&mut self.bytes)? {
+                match kind {
+                    b'Z' => return Ok(state),
+                    b'E' => {
+                        state = Some(String::from_utf8_lossy(wire::sqlstate(&body)).into_owned())
+                    }
+                    _ => {}
+                }
+            }
+            if self.stream.read_buf(&mut self.bytes).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    async fn ask(&mut self, id: u64, class: &str) -> io::Result<Option<String>> {
+        let verb = if class == "journal-load" {
+            "INSERT INTO"
+        } else {
+            "SELECT * FROM"
+        };
+        let group = id % 50;
+        let text = format!(
+            "/* verb={class},txn={id:016x},limit=4000,cpu=5.0,memory=8 */ {verb} sales_{group}.orders -- takes = 5000"
+        );
+        self.stream.write_all(&wire::query(&text)).await?;
+        self.answer().await
+    }
+}
+
+/// One client, until all is over: it keeps its connection, and closes it from time to time.
+async fn client(address: SocketAddr, mut seed: u64, told: Arc<Told>) {
+    let mut kept: Option<Kept> = None;
+    while !told.over.load(Ordering::Relaxed) {
+        sleep(PACE.mul_f64(2.0 * (draw(&mut seed) as f64 / u64::MAX as f64))).await;
+        if draw(&mut seed).is_multiple_of(10) {
+            kept = None;
+        }
+        let class = if draw(&mut seed).is_multiple_of(8) {
+            "journal-load"
+        } else {
+            "lookup"
+        };
+        let (id, sent) = (draw(&mut seed), Instant::now());
+        let mut fresh = kept.is_none();
+        let answer = loop {
+            let open = match kept.take().filter(Kept::is_open) {
+                Some(open) => Ok(open),
+                None => Kept::open(address).await,
+            };
+            let answer = match open {
+                Ok(mut open) => {
+                    let answer = open.ask(id, class).await;
+                    kept = Some(open).filter(|_| answer.is_ok());
+                    answer
+                }
+                Err(error) => Err(error),
+            };
+            match answer {
+                // It crossed the close of a connection that was idle: it is sent again, once.
+                Err(_) if !fresh && !told.killed_since(sent) => {
+                    fresh = true;
+                    told.crossed.fetch_add(1, Ordering::Relaxed);
+                }
+                answer => break answer,
+            }
+        };
+        match answer {
+            Ok(None) => told.served.fetch_add(1, Ordering::Relaxed),
+            Ok(Some(state)) if state.starts_with("53") || state == "57P03" => {
+                told.refused.fetch_add(1, Ordering::Relaxed)
+            }
+            other => {
+                let lost = (sent, Instant::now(), format!("{class}: {other:?}"));
+                told.lost.lock().expect("nobody panicked").push(lost);
+                0
+            }
+        };
+    }
+}
+
+/// The platform's part: the socket, the folder and the file that all processes of the dispatcher share.
+struct Platform {
+    socket: Bound,
+    folder: PathBuf,
+}
+
+struct Process {
+    child: Child,
+    log: mpsc::UnboundedReceiver<String>,
+    door: String,
+}
+
+impl Platform {
+    fn new(number: u64, engine: SocketAddr) -> Platform {
+        let folder =
+            std::env::temp_dir().join(format!("sedgebeam-upgrade-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let socket = Bound::bind("127.0.0.1:0").expect("a port");
+        let target = format!(
+            r#"{{"uid":"s-00000001","endpoint":"{engine}","az":"a","model":"std","pod_group":0,"state":"up","boot_ms":0}}"#
+        );
+        let config = format!(
+            r#"{{"name":"n0","listen":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":512}},"known":{{"seq":1,
+              "results":[{{"seq":1,"fleet":{{"rev":1,"all":true,"targets":[{target}]}}}}]}},"settings":{SETTINGS}}}"#,
+            socket.local_addr().expect("an address")
+        );
+        std::fs::write(folder.join("config.json"), config).expect("writes");
+        Platform { socket, folder }
+    }
+
+    /// Starts a process with the socket as descriptor 7.
+    fn start(&self) -> Process {
+        let socket = OwnedFd::from(self.socket.try_clone().expect("a copy"));
+        let mut child = Command::new("sh")
+            .args(["-c", r#"exec 7<&0; exec "$0" serve"#])
+            .arg(env!("CARGO_BIN_EXE_sedgebeam"))
+            .env("PROXY_CONFIG", self.folder.join("config.json"))
+            .env("PROXY_NAME", "n0")
+            .env("PROXY_CONTROL", "127.0.0.1:0")
+            .env("PROXY_PASSED_SOCKET", "7")
+            .env("TMPDIR", &self.folder)
+            .env_remove("PROXY_LISTEN")
+            .env("SEDGEBEAM_LOG", "info")
+            .stdin(Stdio::from(socket))
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program starts");
+        let (told, log) = mpsc::unbounded_channel();
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                let _ = told.send(line);
+            }
+        });
+        Process {
+            child,
+            log,
+            door: String::new(),
+        }
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Process {
+    /// Waits for a line of the log that holds the words; what stands behind them.
+    async fn logged(&mut self, words: &str) -> String {
+        loop {
+            let line = timeout(HANGS, self.log.recv()).await;
+            let line = line.unwrap_or_else(|_| panic!("the log never said {words:?}"));
+            let line = line.unwrap_or_else(|| panic!("the log ended before {words:?}"));
+            if let Some((_, rest)) = line.split_once(words) {
+                return rest.trim().to_string();
+            }
+        }
+    }
+
+    /// Waits until it says at the door that it takes work.
+    async fn ready(&mut self) {
+        self.door = self.logged("takes calls of operators on ").await;
+        while !self.call("PING").await.starts_with("200") {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn call(&self, word: &str) -> String {
+        let mut stream = TcpStream::connect(&self.door).await.expect("a door");
+        stream
+            .write_all(format!("{word}\n").as_bytes())
+            .await
+            .expect("writes");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("reads");
+        answer
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().expect("it runs").to_string();
+        let sent = std::process::Command::new("kill")
+            .args([signal, &id])
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    async fn ended(&mut self) -> Option<i32> {
+        let status = timeout(HANGS, self.child.wait()).await;
+        status.expect("it ends").expect("a status").code()
+    }
+}
+
+/// One upgrade, at one of whose steps something goes wrong; the process that serves afterwards.
+async fn upgrade(platform: &Platform, mut old: Process, mut seed: u64, told: &Told) -> Process {
+    let mut new = platform.start();
+    let step = draw(&mut seed) % 6;
+    // From before the new one has read a line to well after it takes work.
+    let moment = Duration::from_micros(draw(&mut seed) % 400_000);
+    match step {
+        0 | 1 => {
+            sleep(moment).await;
+            told.killed();
+            new.signal("-KILL");
+            new.ended().await;
+            return old;
+        }
+        2 => {
+            old.signal("-STOP");
+            sleep(moment).await;
+            old.signal("-CONT");
+        }
+        _ => {}
+    }
+    new.ready().await;
+    match step {
+        3 => {
+            sleep(moment / 8).await;
+            told.killed();
+            old.signal("-KILL");
+            old.ended().await;
+        }
+        _ => {
+            old.signal("-TERM");
+            old.logged("ending: last call").await;
+            let answer = old.call("PING").await;
+            assert!(answer.starts_with("400"), "{answer}");
+            assert_eq!(old.ended().await, Some(0));
+        }
+    }
+    let answer = new.call("PING").await;
+    assert!(answer.starts_with("200"), "{answer}");
+    new
+}
+
+/// Upgrades by these seeds, one after the other, under load throughout.
+async fn upgrades(number: u64, seeds: impl Iterator<Item = u64>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let seen = Arc::new(engine::Seen::default());
+    tokio::spawn(engine::serve(listener, seen.clone()));
+    let platform = Platform::new(number, address);
+    let mut serving = platform.start();
+    serving.ready().await;
+    let told = Arc::new(Told::default());
+    let clients = (0..CLIENTS as u64).map(|client| {
+        let address = platform.socket.local_addr().expect("an address");
+        tokio::spawn(self::client(
+            address,
+            number << 32 | client << 16 | 1,
+            told.clone(),
+        ))
+    });
+    let clients: Vec<_> = clients.collect();
+    let mut count = 0;
+    for seed in seeds {
+        serving = upgrade(&platform, serving, seed, &told).await;
+        count += 1;
+        assert_eq!(told.lost(), Vec::<String>::new(), "seed {seed}");
+    }
+    told.over.store(true, Ordering::Relaxed);
+    for client in clients {
+        timeout(HANGS, client)
+            .await
+            .expect("it ends")
+            .expect("no panic");
+    }
+    assert_eq!(told.lost(), Vec::<String>::new());
+    assert_eq!(seen.doubled(), 0, "a load was sent twice");
+    let served = told.served.load(Ordering::Relaxed);
+    assert!(served > 20 * count, "{served} served in {count} upgrades");
+    println!(
+        "{count} upgrades: {served} served, {} refused, {} crossed a close",
+        told.refused.load(Ordering::Relaxed),
+        told.crossed.load(Ordering::Relaxed)
+    );
+}
+
+fn run(number: u64, seeds: std::ops::Range<u64>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime
+        .expect("a runtime")
+        .block_on(upgrades(number, seeds));
+}
+
+#[test]
+fn upgrades_lose_no_request_whatever_dies_at_which_step_1() {
+    run(1, 0..26);
+}
+
+#[test]
+fn upgrades_lose_no_request_whatever_dies_at_which_step_2() {
+    run(2, 26..52);
+}
+
+#[test]
+fn upgrades_lose_no_request_whatever_dies_at_which_step_3() {
+    run(3, 52..78);
+}
+
+#[test]
+fn upgrades_lose_no_request_whatever_dies_at_which_step_4() {
+    run(4, 78..104);
+}
+
+/// The checker itself: a dispatcher that takes a request and closes is caught, and one that is slow is not.
+#[test]
+fn a_dispatcher_that_drops_requests_is_caught() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(async {
+        for drops in [true, false] {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+                .await
+                .expect("a port");
+            let address = listener.local_addr().expect("an address");
+            tokio::spawn(async move {
+                loop {
+                    let (mut stream, _) = listener.accept().await.expect("accepts");
+                    tokio::spawn(async move {
+                        let (ready, mut bytes) = (b"Z\0\0\0\x05I", [0; 1024]);
+                        // The start of a session, and then requests.
+                        let mut turn = 0;
+                        while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
+                            turn += 1;
+                            if (drops && turn > 1) || stream.write_all(ready).await.is_err() {
+                                return;
+                            }
+                        }
+                    });
+                }
+            });
+            let told = Arc::new(Told::default());
+            let client = tokio::spawn(client(address, 1, told.clone()));
+            while told.lost().is_empty() && told.served.load(Ordering::Relaxed) < 20 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            told.over.store(true, Ordering::Relaxed);
+            client.await.expect("no panic");
+            assert_eq!(told.lost().is_empty(), !drops);
+        }
+    });
+}
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -403,9 +403,15 @@
     async fn look(&mut self) {
         let now = Instant::now();
         let idle = duration(self.settings().idle).mul_f64(IDLE_PART);
+        let (mut open, most) = (self.connections.len(), self.settings().most);
         self.connections.retain(|_, connection| {
             let busy = connection.out > 0 || !connection.up;
-            busy || (!connection.spent && now < connection.used + idle)
+            // Fewer may be open than were: idle ones go at once.
+            let goes = connection.spent || now >= connection.used + idle || open > most;
+            if goes && !busy {
+                open -= 1;
+            }
+            busy || !goes
         });
         let stopped = self.out.values().filter(|out| {
             let result = out.result.as_ref();
--- a/fleet/src/crowd.rs
+++ b/fleet/src/crowd.rs
@@ -48,6 +48,18 @@
         self.now = (self.now * step.exp()).clamp(self.least, MOST);
     }
 
+    /// Even parts of the fleet that the traffic alone would not give; for another process of this gateway.
+    pub fn handed_over(&self) -> f64 {
+        self.now
+    }
+
+    /// Takes over what answers told an earlier process; what is no number is not heeded.
+    pub fn take_over(&mut self, now: f64) {
+        if now.is_finite() {
+            self.now = now.clamp(self.least, MOST);
+        }
+    }
+
     /// A request came.
     pub fn asked(&mut self, now: u64) {
         self.traffic.asked(now);
--- a/fleet/src/health.rs
+++ b/fleet/src/health.rs
@@ -72,6 +72,17 @@
         rest.max(self.jammed_until)
     }
 
+    /// Until when it is set aside after strikes, and after a jam; for another process of this gateway.
+    pub fn rests_handed_over(&self) -> (u64, u64) {
+        (self.rests_until.unwrap_or(0), self.jammed_until)
+    }
+
+    /// Takes over what an earlier process held against the engine.
+    pub fn take_rests(&mut self, (rests_until, jammed_until): (u64, u64)) {
+        self.rests_until = Some(rests_until).filter(|until| *until > 0);
+        self.jammed_until = jammed_until;
+    }
+
     /// A word from the engine; true if it ends a rest. A word does not show that a jam is over: what is
     /// jammed answers probes and tells of progress all the time.
     pub fn heard(&mut self) -> bool {
--- a/fronts/src/places.rs
+++ b/fronts/src/places.rs
@@ -26,6 +26,7 @@
 
 #[derive(Default)]
 struct Table {
+    most: usize,
     entries: HashMap<u64, Entry>,
     /// All that may give way, in that order.
     order: BTreeMap<(Standing, u64), u64>,
@@ -67,18 +68,30 @@
 
 #[derive(Clone)]
 pub struct Places {
-    most: usize,
     table: Arc<Mutex<Table>>,
 }
 
 impl Places {
     pub fn new(most: usize) -> Places {
-        Places {
+        let table = Table {
             most,
-            table: Arc::default(),
+            ..Table::default()
+        };
+        Places {
+            table: Arc::new(Mutex::new(table)),
         }
     }
 
+    /// So many from now on. Nobody gives way at once: a request may be on its way to any of them.
+    pub fn limit(&self, most: usize) {
+        self.table().most = most;
+    }
+
+    /// How many are taken.
+    pub fn taken(&self) -> usize {
+        self.table().entries.len()
+    }
+
     fn table(&self) -> MutexGuard<'_, Table> {
         // Nothing panics while it is held; what it holds would be whole all the same.
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
@@ -87,7 +100,7 @@
     /// A place for a newcomer, and whether another gave way for it; `None` where all are busy.
     pub fn take(&self) -> Option<(Place, bool)> {
         let mut table = self.table();
-        let full = table.entries.len() >= self.most;
+        let full = table.entries.len() >= table.most;
         if full && !table.make_room() {
             return None;
         }
--- /dev/null
+++ b/handover/src/share.rs
@@ -0,0 +1,268 @@
+//! What a process tells the others of its dispatcher, as a file: a head of one line, and JSON.
+
+use crate::pair::Phase;
+use miniserde::{Deserialize, Serialize, json};
+use sedgebeam_core::{
+    ClassHeld, ClassOut, EngineHeld, EngineId, GroupId, Held, Micros, Out, Tenant,
+};
+use sedgebeam_roster::Target;
+
+/// Processes of another version say nothing to each other.
+pub const VERSION: u32 = 1;
+const MARK: &str = "sedgebeam-share";
+/// The longest share: that of some thousands of engines.
+const MOST_BYTES: usize = 8 << 20;
+/// A share is out of date after this: whoever wrote it stands still.
+const LASTS: u64 = 2_000_000;
+
+/// What a process tells.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    pub stated: Stated,
+    pub held: Held,
+}
+
+/// All of it but what the gateway holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stated {
+    /// The dispatcher's name.
+    pub name: String,
+    /// When it was written, in Unix microseconds.
+    pub at: u64,
+    pub phase: Phase,
+    /// The change log's number, and the list that it left.
+    pub seq: u64,
+    pub targets: Vec<Target>,
+    /// Sessions of clients.
+    pub sessions: usize,
+    /// What the administration has set: engines that it drained, and shares of tenants with their rates.
+    pub drained: Vec<String>,
+    pub tenants: Vec<Tenant>,
+    /// The platform's file that is in use, as text.
+    pub file: String,
+}
+
+/// Why a share is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// It is no share of this version.
+    Foreign,
+    /// It is not whole.
+    Torn,
+    /// It is of another dispatcher.
+    Other,
+    /// It is out of date, or from a time to come.
+    Old,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Record {
+    name: String,
+    at: u64,
+    phase: Phase,
+    seq: u64,
+    targets: Vec<Target>,
+    sessions: usize,
+    drained: Vec<String>,
+    tenants: Vec<TenantRecord>,
+    file: String,
+    engines: Vec<EngineRecord>,
+    classes: Vec<ClassRecord>,
+    multiple: f64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct TenantRecord {
+    name: String,
+    portion: f64,
+    allowance_per_s: f64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct EngineRecord {
+    engine: u64,
+    threads: f64,
+    memory_mb: f64,
+    groups: Vec<u64>,
+    sent: Vec<(u64, f64)>,
+    pace: f64,
+    rests_until: (u64, u64),
+}
+
+#[derive(Serialize, Deserialize)]
+struct ClassRecord {
+    name: String,
+    threads: f64,
+    memory_mb: f64,
+    ratio: Option<f64>,
+    pace: f64,
+    took: Option<f64>,
+    work: Option<f64>,
+    taken: f64,
+    spilled: f64,
+}
+
+impl From<Tenant> for TenantRecord {
+    fn from(tenant: Tenant) -> TenantRecord {
+        TenantRecord {
+            name: tenant.name,
+            portion: tenant.share,
+            allowance_per_s: tenant.per_second,
+        }
+    }
+}
+
+impl From<TenantRecord> for Tenant {
+    fn from(record: TenantRecord) -> Tenant {
+        Tenant {
+            name: record.name,
+            share: record.portion,
+            per_second: record.allowance_per_s,
+        }
+    }
+}
+
+impl From<&EngineHeld> for EngineRecord {
+    fn from(held: &EngineHeld) -> EngineRecord {
+        let (rests, jammed) = held.rests_until;
+        EngineRecord {
+            engine: held.engine.0,
+            threads: held.out.threads,
+            memory_mb: held.out.memory_mb,
+            groups: held.out.groups.iter().map(|group| group.0).collect(),
+            sent: held.sent.iter().map(|(at, work)| (at.0, *work)).collect(),
+            pace: held.pace,
+            rests_until: (rests.0, jammed.0),
+        }
+    }
+}
+
+impl From<EngineRecord> for EngineHeld {
+    fn from(record: EngineRecord) -> EngineHeld {
+        let sent = record.sent.into_iter();
+        EngineHeld {
+            engine: EngineId(record.engine),
+            out: Out {
+                threads: record.threads,
+                memory_mb: record.memory_mb,
+                groups: record.groups.into_iter().map(GroupId).collect(),
+            },
+            sent: sent.map(|(at, work)| (Micros(at), work)).collect(),
+            pace: record.pace,
+            rests_until: (Micros(record.rests_until.0), Micros(record.rests_until.1)),
+        }
+    }
+}
+
+impl From<&ClassHeld> for ClassRecord {
+    fn from(held: &ClassHeld) -> ClassRecord {
+        ClassRecord {
+            name: held.name.clone(),
+            threads: held.out.threads,
+            memory_mb: held.out.memory_mb,
+            ratio: held.ratio,
+            pace: held.pace,
+            took: held.took,
+            work: held.work,
+            taken: held.taken,
+            spilled: held.spilled,
+        }
+    }
+}
+
+impl From<ClassRecord> for ClassHeld {
+    fn from(record: ClassRecord) -> ClassHeld {
+        ClassHeld {
+            name: record.name,
+            out: ClassOut {
+                threads: record.threads,
+                memory_mb: record.memory_mb,
+            },
+            ratio: record.ratio,
+            pace: record.pace,
+            took: record.took,
+            work: record.work,
+            taken: record.taken,
+            spilled: record.spilled,
+        }
+    }
+}
+
+impl Share {
+    pub fn encode(&self) -> Vec<u8> {
+        let Stated {
+            name,
+            at,
+            phase,
+            seq,
+            targets,
+            sessions,
+            drained,
+            tenants,
+            file,
+        } = self.stated.clone();
+        let record = Record {
+            name,
+            at,
+            phase,
+            seq,
+            targets,
+            sessions,
+            drained,
+            tenants: tenants.into_iter().map(TenantRecord::from).collect(),
+            file,
+            engines: self.held.engines.iter().map(EngineRecord::from).collect(),
+            classes: self.held.classes.iter().map(ClassRecord::from).collect(),
+            multiple: self.held.multiple,
+        };
+        let body = json::to_string(&record);
+        let sum = crc32fast::hash(body.as_bytes());
+        format!("{MARK} {VERSION} {} {sum:08x}\n{body}", body.len()).into_bytes()
+    }
+
+    /// Reads a share of the dispatcher of this name, at this Unix microsecond.
+    pub fn decode(bytes: &[u8], name: &str, now: u64) -> Result<Share, Refused> {
+        if bytes.len() > MOST_BYTES {
+            return Err(Refused::Foreign);
+        }
+        let text = std::str::from_utf8(bytes).map_err(|_| Refused::Torn)?;
+        let (head, body) = text.split_once('\n').ok_or(Refused::Torn)?;
+        let words: Vec<&str> = head.split(' ').collect();
+        let [mark, version, length, sum] = words[..] else {
+            return Err(Refused::Foreign);
+        };
+        if mark != MARK || version.parse() != Ok(VERSION) {
+            return Err(Refused::Foreign);
+        }
+        let whole = length.parse() == Ok(body.len())
+            && u32::from_str_radix(sum, 16) == Ok(crc32fast::hash(body.as_bytes()));
+        if !whole {
+            return Err(Refused::Torn);
+        }
+        let record: Record = json::from_str(body).map_err(|_| Refused::Foreign)?;
+        if record.name != name {
+            return Err(Refused::Other);
+        }
+        if record.at.abs_diff(now) > LASTS {
+            return Err(Refused::Old);
+        }
+        Ok(Share {
+            stated: Stated {
+                name: record.name,
+                at: record.at,
+                phase: record.phase,
+                seq: record.seq,
+                targets: record.targets,
+                sessions: record.sessions,
+                drained: record.drained,
+                tenants: record.tenants.into_iter().map(Tenant::from).collect(),
+                file: record.file,
+            },
+            held: Held {
+                engines: record.engines.into_iter().map(EngineHeld::from).collect(),
+                classes: record.classes.into_iter().map(ClassHeld::from).collect(),
+                multiple: record.multiple,
+            },
+        })
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,15 +1,7 @@
 //! The laboratory's command line.
 
-mod cores;
-mod decide;
-mod engine;
-mod load;
-mod plan;
-mod program;
-mod search;
-mod wire;
-
 use clap::{Parser, Subcommand};
+use sedgebeam_lab::{cores, decide};
 use std::process::ExitCode;
 
 /// Experiments on the dispatcher: the real program between stand-in engines and open-loop load, on loopback.
--- a/operation/src/drain.rs
+++ b/operation/src/drain.rs
@@ -45,6 +45,10 @@
     pub ready: bool,
     pub newcomers: Newcomers,
     pub kept: Kept,
+    /// The list and the engines are there.
+    pub prepared: bool,
+    /// The process was told to end.
+    pub ends: bool,
     /// The last call is over: the process ends once all that was taken is answered.
     pub over: bool,
 }
@@ -118,6 +122,8 @@
             ready,
             newcomers,
             kept,
+            prepared: self.prepared,
+            ends: self.ending.is_some(),
             over,
         }
     }
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -10,7 +10,7 @@
     Answer, Asked, BrokerBox, Denied, Failure, Listing, NewRequest, Pending, SessionKey, Target,
     ToBroker, Told,
 };
-use sedgebeam_core::{Effect, Micros, RequestId, Tenant, mix};
+use sedgebeam_core::{Effect, Held, Micros, RequestId, Tenant, mix};
 use sedgebeam_operation::Figures;
 use sedgebeam_retune::{Table, Tuning};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -223,6 +223,53 @@
         }
     }
 
+    /// What the gateways hold, added up; nothing of one that is silent.
+    pub async fn held_over(&self) -> Held {
+        let asked = self.all().map(|mailbox| async move {
+            let (reply, held) = oneshot::channel();
+            mailbox.send(ToBroker::HeldOver(reply)).await.ok()?;
+            timeout(TELLS_WITHIN, held).await.ok()?.ok()
+        });
+        let held = futures::future::join_all(asked).await;
+        let mut held = held.into_iter().flatten();
+        let first = held.next().unwrap_or_default();
+        held.fold(first, Held::and)
+    }
+
+    /// Tells all brokers what needs no answer; one that is gone needs not hear it.
+    async fn tell_all(&self, message: impl Fn() -> ToBroker) {
+        let told = self.all().map(|mailbox| {
+            let message = message();
+            async move { mailbox.send(message).await.is_ok() }
+        });
+        futures::future::join_all(told).await;
+    }
+
+    /// Has the gateways begin with what an earlier process held.
+    pub async fn take_over(&self, held: Held) {
+        let held = Arc::new(held);
+        self.tell_all(|| ToBroker::TakeOver(held.clone())).await;
+    }
+
+    /// What other processes of this dispatcher hold, and whether this one may send to cold engines.
+    pub async fn beside(&self, held: Held, may_warm: bool) {
+        let held = Arc::new(held);
+        self.tell_all(|| ToBroker::Beside(held.clone(), may_warm))
+            .await;
+    }
+
+    /// Has every request that is open answered now.
+    pub async fn last_call(&self) {
+        self.tell_all(|| ToBroker::LastCall).await;
+    }
+
+    /// The engines listed, those that the administration has drained, and the shares that it has set.
+    pub async fn standing(&self) -> (Vec<Target>, Vec<String>, Vec<Tenant>) {
+        let standing = self.shared.standing.lock().await;
+        let (targets, drained) = (standing.targets(), standing.drained());
+        (targets, drained, standing.table.set().to_vec())
+    }
+
     fn micros(&self) -> Micros {
         span(self.shared.began.elapsed())
     }
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -8,7 +8,6 @@
 mod desk;
 mod engine;
 mod request;
-mod roster;
 mod standing;
 pub mod supervise;
 
@@ -17,4 +16,4 @@
 pub use desk::{BEAT, Closed, Desk};
 pub use engine::{Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine};
 pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker};
-pub use roster::{Listing, Target, apply};
+pub use sedgebeam_roster::{Listing, Target, apply};
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::{Answer, Asked, Denied, Listing, Report, Target, Told};
 use bytes::Bytes;
-use sedgebeam_core::{ClassId, EngineId, GroupId, Micros, RequestId};
+use sedgebeam_core::{ClassId, EngineId, GroupId, Held, Micros, RequestId};
 use sedgebeam_retune::Tuning;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -38,6 +38,14 @@
     Engine(EngineId, Report),
     EngineDied(EngineId),
     List(Listing, Vec<Target>),
+    /// Asks what the gateway holds.
+    HeldOver(oneshot::Sender<Held>),
+    /// What an earlier process held, to begin with.
+    TakeOver(Arc<Held>),
+    /// What other processes of this dispatcher hold, and whether this one may send to cold engines.
+    Beside(Arc<Held>, bool),
+    /// The process ends: what has no answer yet gets one now.
+    LastCall,
     /// New settings; the sender is dropped once they hold.
     Retune(Arc<Tuning>, oneshot::Sender<()>),
     Admin(Asked, oneshot::Sender<Result<Told, Denied>>),
--- a/port/src/standing.rs
+++ b/port/src/standing.rs
@@ -44,6 +44,11 @@
         self.targets.clone()
     }
 
+    /// Engines drained by the administration.
+    pub fn drained(&self) -> Vec<String> {
+        self.drained.iter().cloned().collect()
+    }
+
     /// What a new broker must be asked once it has the list. Drains come with it: an engine that drains must
     /// not be sent anything for an instant.
     pub fn replay(&self) -> Vec<Asked> {
--- a/retune/src/table.rs
+++ b/retune/src/table.rs
@@ -85,6 +85,11 @@
         &self.tuning
     }
 
+    /// Tenants set by the administration.
+    pub fn set(&self) -> &[Tenant] {
+        &self.set
+    }
+
     /// How long requests of a class that are taken now may be open, or a client may come back.
     fn patience(&self, class: &Class) -> Micros {
         Micros(class.give_up.0.saturating_mul(PATIENCE))
--- a/port/src/roster.rs
+++ b/roster/src/lib.rs
@@ -1,9 +1,9 @@
-//! Engines as a list names them, wherever the list comes from.
+//! Engines as a list names them, wherever the list comes from. No I/O.
 
-use miniserde::Deserialize;
+use miniserde::{Deserialize, Serialize};
 
 /// An engine as listed.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     pub uid: String,
     pub endpoint: String,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,7 +116,7 @@
     pub retired: bool,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenant {
     pub name: String,
     pub share: f64,
@@ -344,6 +344,8 @@
     /// What a probe found.
     Probed(EngineId, Outcome, Option<Load>),
     Timer(TimerId),
+    /// The gateway ends: all that has no final answer yet gets one now.
+    LastCall,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod avoided;
 mod circle;
+mod handover;
 mod interface;
 mod parts;
 mod policy;
@@ -32,6 +33,7 @@
 mod state;
 mod warming;
 
+pub use handover::{ClassHeld, EngineHeld, Held};
 pub use interface::*;
 pub use parts::{ClassOut, EngineShare, EngineWish, Out, Published, Room, Siblings, Wish};
 pub use policy::{CREDIT_CAP, Gateway};
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -205,6 +205,7 @@
             Event::ClientLeft(id) => self.close(id)?,
             Event::Probed(id, how, load) => self.heard(id, how == Outcome::Ok, load)?,
             Event::Timer(_) => self.timer_set = false,
+            Event::LastCall => self.last_call(),
         }
         Some(())
     }
@@ -823,7 +824,7 @@
     }
 
     /// The final answer to a request that is not served: a refusal where that is harmless.
-    fn give_up(&mut self, id: RequestId) -> Option<()> {
+    pub(crate) fn give_up(&mut self, id: RequestId) -> Option<()> {
         let request = self.requests.get(&id).filter(|request| !request.over)?;
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Repeatable | Effect::Keyed(Group::All) => true,
