Count what a client called off as aborted, and test every way in which a request ends

Checked: only clients that sent a CancelRequest are concerned; they hear error 57014 and close half a second later, so they are still there. Ruled out: figures in general (served, refused, attempts and outstanding were true). At fault: port/src/answer.rs let the request's count go as if its client had left.

--- a/dispatcher/tests/scenarios/pg_client.rs
+++ b/dispatcher/tests/scenarios/pg_client.rs
@@ -21,7 +21,7 @@
     )
 }
 
-fn query(text: &str) -> Vec<u8> {
+pub fn query(text: &str) -> Vec<u8> {
     let mut bytes = vec![b'Q'];
     bytes.extend((text.len() as u32 + 5).to_be_bytes());
     bytes.extend(text.as_bytes());
@@ -29,7 +29,7 @@
     bytes
 }
 
-fn startup() -> Vec<u8> {
+pub fn startup() -> Vec<u8> {
     let body = b"user\0app\0database\0main\0\0";
     let mut bytes = (body.len() as u32 + 8).to_be_bytes().to_vec();
     bytes.extend((3u32 << 16).to_be_bytes());
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -320,7 +320,7 @@
     }
 
     /// Replaces the platform's file.
-    fn replace(&self, text: &str) {
+    pub fn replace(&self, text: &str) {
         std::fs::write(self.folder.join("config.json"), text).expect("writes");
     }
 
@@ -331,6 +331,18 @@
         self.logged(words);
     }
 
+    /// Where the program listens, by the kind of client.
+    pub fn address(&self, kind: &str) -> &str {
+        &self.addresses[kind]
+    }
+
+    /// Descriptors that the program holds.
+    pub fn descriptors(&self) -> usize {
+        let id = self.app.id().expect("it runs");
+        let held = std::fs::read_dir(format!("/proc/{id}/fd"));
+        held.expect("they are listed").count()
+    }
+
     /// The platform's file as it is without a change log.
     pub fn config(&self) -> String {
         format!("{}}}", self.config)
@@ -410,6 +422,8 @@
 async fn operator(address: String, mut role: Role) {
     while let Some(words) = role.say.recv().await {
         let (call, wanted) = words.split_once(' ').unwrap_or((&words, "-"));
+        // All that is told, but for one who asks only whether it is.
+        let wanted = if words == "INFO" { "" } else { wanted };
         let mut stream = TcpStream::connect(&address).await.expect("connects");
         let line = format!("{call}\n");
         stream.write_all(line.as_bytes()).await.expect("writes");
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -209,6 +209,7 @@
 
 struct Bench {
     crew: Crew,
+    figures: Figures,
     world: Arc<World>,
     hears: mpsc::UnboundedReceiver<Sent>,
     /// How often each request was sent.
@@ -224,11 +225,10 @@
 impl Bench {
     async fn new() -> Bench {
         let (world, hears) = World::new();
-        let crew = {
-            let (figures, clock) = (Figures::default(), Clock::start());
-            Crew::start(&config(), world.clone(), &figures, clock).await
-        }
-        .expect("starts");
+        let figures = Figures::default();
+        let (config, clock) = (config(), Clock::start());
+        let crew = Crew::start(&config, world.clone(), &figures, clock).await;
+        let crew = crew.expect("starts");
         let list = vec![target("e-1")];
         crew.desk
             .list(Listing::Complete, list)
@@ -236,6 +236,7 @@
             .expect("is told");
         Bench {
             crew,
+            figures,
             world,
             hears,
             sends: HashMap::new(),
@@ -366,6 +367,12 @@
                 (true, _) => assert!(matches!(answer, Answer::Refused { .. }), "{id}: {answer:?}"),
             }
         }
+        // Results are counted once a client has taken them, and nobody has here.
+        let counts = bench.figures.counts();
+        let loads = lost.iter().filter(|id| class(id.0) == LOAD).count() as u64;
+        let others = lost.len() as u64 - loads;
+        assert_eq!(counts["lookup"].ended, [0, others, 0]);
+        assert_eq!(counts["journal-load"].ended, [0, 0, loads]);
         bench.until(|bench| bench.crew.restarts() == 1).await;
         // Its names are free again, and it serves again, with the list that the others have.
         let (pending, sent) = all_out(&mut bench, 101..125).await;
--- a/fronts/src/pg/codec.rs
+++ b/fronts/src/pg/codec.rs
@@ -248,15 +248,21 @@
     }
 
     #[test]
-    fn the_first_query_may_come_with_the_start() {
-        let mut codec = Pg::new(4096);
-        let mut bytes = BytesMut::from(&b"\0\0\0\x09\0\x03\0\0\0Q\0\0\0\x06;\0"[..]);
-        assert_eq!(
-            codec.decode(&mut bytes).expect("is read"),
-            Some(Said::Startup)
-        );
+    fn the_first_query_may_come_with_the_start_and_all_cut_at_any_byte() {
+        let whole = b"\0\0\0\x09\0\x03\0\0\0Q\0\0\0\x06;\0X\0\0\0\x04";
         let query = Said::Query(Bytes::from_static(b";"));
-        assert_eq!(codec.decode(&mut bytes).expect("is read"), Some(query));
+        for first in 0..whole.len() {
+            for second in first..whole.len() {
+                let (mut codec, mut bytes, mut said) = (Pg::new(4096), BytesMut::new(), Vec::new());
+                for piece in [&whole[..first], &whole[first..second], &whole[second..]] {
+                    bytes.extend_from_slice(piece);
+                    while let Some(message) = codec.decode(&mut bytes).expect("is read") {
+                        said.push(message);
+                    }
+                }
+                assert_eq!(said, [Said::Startup, query.clone(), Said::Terminate]);
+            }
+        }
     }
 
     #[test]
--- a/lab/src/cores.rs
+++ b/lab/src/cores.rs
@@ -17,7 +17,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 /// Firms and their shares.
-const FIRMS: [(&str, f64); 3] = [
+pub const FIRMS: [(&str, f64); 3] = [
     ("fraser-cpa", 0.62),
     ("island-ledger", 0.26),
     ("kootenay-books", 0.12),
@@ -113,14 +113,14 @@
     apart.fold(0.0, f64::max)
 }
 
-struct World {
-    runtime: Runtime,
-    engines: Vec<SocketAddr>,
+pub struct World {
+    pub runtime: Runtime,
+    pub engines: Vec<SocketAddr>,
     seen: Arc<Seen>,
 }
 
 impl World {
-    fn new(threads: usize, engines: usize) -> io::Result<World> {
+    pub fn new(threads: usize, engines: usize) -> io::Result<World> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(threads)
             .enable_all()
@@ -276,6 +276,7 @@
             workers,
             shards: self.shards,
             pin: self.pin,
+            control: false,
             engines: world.engines.clone(),
             engine_cores,
             firms: FIRMS
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cores;
 pub mod decide;
+pub mod door;
 pub mod engine;
 pub mod load;
 pub mod plan;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line.
 
 use clap::{Parser, Subcommand};
-use sedgebeam_lab::{cores, decide};
+use sedgebeam_lab::{cores, decide, door};
 use std::process::ExitCode;
 
 /// Experiments on the dispatcher: the real program between stand-in engines and open-loop load, on loopback.
@@ -18,12 +18,15 @@
     Cores(cores::Cores),
     /// What decisions cost by themselves: one gateway behind a lock, and shards with a ledger.
     Decide(decide::Decide),
+    /// How long operators wait at the door while the program is asked for more than it can do.
+    Door(door::Door),
 }
 
 fn main() -> ExitCode {
     let ran = match Arguments::parse().experiment {
         Experiment::Cores(cores) => cores.run(),
         Experiment::Decide(decide) => decide.run(),
+        Experiment::Door(door) => door.run(),
     };
     match ran {
         Ok(()) => ExitCode::SUCCESS,
--- a/lab/src/program.rs
+++ b/lab/src/program.rs
@@ -17,6 +17,8 @@
     pub workers: usize,
     pub shards: Option<usize>,
     pub pin: bool,
+    /// Whether operators may call.
+    pub control: bool,
     pub engines: Vec<SocketAddr>,
     /// Cores of each engine, by which the module counts its slots.
     pub engine_cores: u32,
@@ -27,6 +29,8 @@
 pub struct Program {
     child: Child,
     pub address: SocketAddr,
+    /// Where operators call.
+    pub control: Option<SocketAddr>,
     folder: PathBuf,
 }
 
@@ -69,6 +73,9 @@
                 "tenants": firms.collect::<Vec<_>>()
             }
         });
+        if self.control {
+            config["control"] = "127.0.0.1:0".into();
+        }
         if self.workers > 1 {
             config["workers"] = self.workers.into();
             config["pin_workers"] = self.pin.into();
@@ -99,8 +106,12 @@
             .spawn()?;
         let log = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
         let mut lines = BufReader::new(log).lines();
+        let mut control = None;
         let started = async {
             while let Some(line) = lines.next_line().await? {
+                if let Some((_, door)) = line.split_once("takes calls of operators on ") {
+                    control = Some(door.trim().parse().map_err(io::Error::other)?);
+                }
                 if let Some((_, address)) = line.split_once("serves PostgreSQL clients on ") {
                     return address.trim().parse().map_err(io::Error::other);
                 }
@@ -120,6 +131,7 @@
         Ok(Program {
             child,
             address,
+            control,
             folder,
         })
     }
--- a/port/src/answer.rs
+++ b/port/src/answer.rs
@@ -174,8 +174,7 @@
         match answer {
             Answer::Rows(delivery) => delivery.running = Some(running),
             Answer::Refused { .. } => running.ended(Disposition::Declined),
-            // Whoever called it off waits for no answer.
-            Answer::Failed(Failure::Cancelled) => drop(running),
+            // Whoever called it off is still there and hears that it failed.
             Answer::Failed(_) => running.ended(Disposition::Aborted),
         }
     }
--- a/retune/src/file.rs
+++ b/retune/src/file.rs
@@ -75,6 +75,71 @@
         json::from_str(text).expect("JSON")
     }
 
+    /// Every key of objects, however deep, with those of entries of lists; not what stands under `known`.
+    fn paths(value: &Value) -> Vec<Vec<String>> {
+        let steps: Vec<(String, &Value)> = match value {
+            Value::Object(object) => object
+                .iter()
+                .map(|(key, value)| (key.clone(), value))
+                .collect(),
+            Value::Array(list) => list
+                .iter()
+                .enumerate()
+                .map(|(at, v)| (at.to_string(), v))
+                .collect(),
+            _ => Vec::new(),
+        };
+        let mut paths = Vec::new();
+        for (step, below) in steps {
+            if matches!(value, Value::Object(_)) {
+                paths.push(vec![step.clone()]);
+            }
+            if step != "known" {
+                let deeper = paths_below(&step, below);
+                paths.extend(deeper);
+            }
+        }
+        paths
+    }
+
+    fn paths_below(step: &str, value: &Value) -> Vec<Vec<String>> {
+        let below = paths(value).into_iter();
+        below
+            .map(|path| [vec![step.to_string()], path].concat())
+            .collect()
+    }
+
+    fn remove(value: &mut Value, path: &[String]) {
+        match (value, path) {
+            (Value::Object(object), [last]) => drop(object.remove(last)),
+            (Value::Object(object), [step, rest @ ..]) => {
+                remove(object.get_mut(step).expect("is there"), rest);
+            }
+            (Value::Array(list), [step, rest @ ..]) => {
+                remove(&mut list[step.parse::<usize>().expect("a place")], rest);
+            }
+            _ => panic!("no path"),
+        }
+    }
+
+    #[test]
+    fn a_file_that_lacks_any_one_key_of_the_running_one_is_not_taken() {
+        let running = value(
+            r#"{"name": "n0", "listen": "x", "known": {"seq": 1, "results": []}, "limits": {"cores": 1.0, "sockets": 9},
+            "settings": {"kinds": ["a"], "domain": {"class_load": [false, true], "priorities": true},
+            "limits": {"max_attempts": 3}, "services": [{"name": "a", "give_up": 1, "worth": 1},
+            {"name": "b", "give_up": 2, "worth": 2}], "tenants": [{"name": "x", "portion": 1}]}}"#,
+        );
+        assert_eq!(missing(&running, &running, &["known"]), None);
+        let paths = paths(&running);
+        assert_eq!(paths.len(), 23, "{paths:?}");
+        for path in paths {
+            let mut lacks = running.clone();
+            remove(&mut lacks, &path);
+            assert_eq!(missing(&running, &lacks, &["known"]), Some(path.join(".")));
+        }
+    }
+
     #[test]
     fn a_key_that_the_running_file_has_must_be_there() {
         let running = value(
