Let a connection that is turned away take its word before it is closed

Seen in a test of drains under load: of what connected to a lame duck from 1.2 s on, nearly all got 'connection reset' where 57P03 had been written. Checked: the error is written whole (a reset comes only after it); ruled out: the drain's times, and sessions, which end in order. At fault: fronts/src/pg/mod.rs wrote the error and dropped the socket with the client's start still unread, which the system answers with a reset, and that takes away what the client has not read yet. It was so for connections without a place, too.

Now the word is written, the sending side ended, and what comes is read until the client closes, for half a second at most, sixteen connections at once. The test (three drains under load, no request lost) fails without it.

--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{JoinHandle, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -38,6 +38,8 @@
 const CATCH_UP: Duration = Duration::from_secs(2);
 /// A process takes at least this part of the sessions of one dispatcher, whatever another has.
 const LEAST_PART: usize = 8;
+/// Connections that are being turned away at once: sessions have their descriptors, and these have a few of their own.
+const LEAVING: usize = 16;
 /// Time between two tries for an address that another process has.
 const BIND_AGAIN: Duration = Duration::from_millis(100);
 /// Flight SQL clients at once.
@@ -360,6 +362,7 @@
             staying: self.duty.staying(),
             alive: self.alive.clone(),
             places,
+            leaving: Arc::new(Semaphore::new(LEAVING)),
             message: config.message,
             // Two processes of one dispatcher may have one seed, and a client's cancel may come to either.
             next: sedgebeam_core::mix(config.seed ^ sedgebeam_core::mix(began.0)),
@@ -469,6 +472,8 @@
     staying: Staying,
     alive: mpsc::Sender<()>,
     places: Places,
+    /// Connections that are being turned away.
+    leaving: Arc<Semaphore>,
     message: usize,
     next: u64,
 }
@@ -492,8 +497,7 @@
             };
             match accepted {
                 Ok((stream, _)) if newcomers == Newcomers::TurnedAway => {
-                    log::debug!("turned away: draining");
-                    pg::turn_away(&stream, pg::Away::Draining);
+                    self.turn_away(stream, pg::Away::Draining);
                 }
                 Ok((stream, _)) => self.start(stream).await,
                 Err(error) => {
@@ -504,10 +508,25 @@
         }
     }
 
+    /// Refuses a connection with a word; where too many are being refused already, without one.
+    fn turn_away(&self, stream: TcpStream, why: pg::Away) {
+        let Ok(leaving) = self.leaving.clone().try_acquire_owned() else {
+            return;
+        };
+        supervise::watch(
+            "a farewell".to_string(),
+            async move {
+                pg::turn_away(stream, why).await;
+                drop(leaving);
+            },
+            || {},
+        );
+    }
+
     async fn start(&mut self, stream: TcpStream) {
         let Some((place, gave_way)) = self.places.take() else {
             log::debug!("all sessions are busy: a connection is turned away");
-            pg::turn_away(&stream, pg::Away::NoPlace);
+            self.turn_away(stream, pg::Away::NoPlace);
             return;
         };
         if gave_way {
--- a/dispatcher/tests/upgrade.rs
+++ b/dispatcher/tests/under_load.rs
@@ -1,5 +1,6 @@
-//! Upgrades under load: two processes of one dispatcher on one passed socket, one of which is killed, stopped or
-//! ended at a step drawn from a seed. No request may be lost but those that a killed process held.
+//! Daily operation under load. Upgrades: two processes of one dispatcher on one passed socket, one of which is killed,
+//! stopped or ended at a step drawn from a seed. Drains: clients are sent away and come back. No request may be lost but
+//! those that a killed process held.
 
 use sedgebeam_lab::{engine, wire};
 use std::io;
@@ -79,14 +80,15 @@
 }
 
 impl Kept {
-    async fn open(address: SocketAddr) -> io::Result<Kept> {
+    /// A session, or the SQLSTATE with which it was turned away.
+    async fn open(address: SocketAddr) -> io::Result<Result<Kept, String>> {
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         stream.write_all(&wire::startup()).await?;
         let bytes = bytes::BytesMut::new();
         let mut kept = Kept { stream, bytes };
-        kept.answer().await?;
-        Ok(kept)
+        let state = kept.answer().await?;
+        Ok(state.map_or(Ok(kept), Err))
     }
 
     /// Whether it has not been closed, as far as this end knows.
@@ -109,7 +111,10 @@
                 }
             }
             if self.stream.read_buf(&mut self.bytes).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+                // One that is turned away hears why before its connection is closed.
+                return state.map_or(Err(io::ErrorKind::UnexpectedEof.into()), |state| {
+                    Ok(Some(state))
+                });
             }
         }
     }
@@ -146,11 +151,12 @@
         let mut fresh = kept.is_none();
         let answer = loop {
             let open = match kept.take().filter(Kept::is_open) {
-                Some(open) => Ok(open),
+                Some(open) => Ok(Ok(open)),
                 None => Kept::open(address).await,
             };
             let answer = match open {
-                Ok(mut open) => {
+                Ok(Err(state)) => Ok(Some(state)),
+                Ok(Ok(mut open)) => {
                     let answer = open.ask(id, class).await;
                     kept = Some(open).filter(|_| answer.is_ok());
                     answer
@@ -337,41 +343,65 @@
     new
 }
 
+/// A platform with one engine, and clients that ask throughout.
+struct Field {
+    platform: Platform,
+    seen: Arc<engine::Seen>,
+    told: Arc<Told>,
+    clients: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Field {
+    async fn new(number: u64) -> Field {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen = Arc::new(engine::Seen::default());
+        tokio::spawn(engine::serve(listener, seen.clone()));
+        let platform = Platform::new(number, address);
+        let told = Arc::new(Told::default());
+        let address = platform.socket.local_addr().expect("an address");
+        let clients = (0..CLIENTS as u64).map(|client| {
+            let seed = (number << 32) | (client << 16) | 1;
+            tokio::spawn(self::client(address, seed, told.clone()))
+        });
+        let clients = clients.collect();
+        Field {
+            platform,
+            seen,
+            told,
+            clients,
+        }
+    }
+}
+
+/// Ends the clients, and sees that they lost nothing.
+async fn finish(told: &Told, clients: Vec<tokio::task::JoinHandle<()>>) {
+    told.over.store(true, Ordering::Relaxed);
+    for client in clients {
+        let ended = timeout(HANGS, client).await;
+        ended.expect("it ends").expect("no panic");
+    }
+    assert_eq!(told.lost(), Vec::<String>::new());
+}
+
 /// Upgrades by these seeds, one after the other, under load throughout.
 async fn upgrades(number: u64, seeds: impl Iterator<Item = u64>) {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let seen = Arc::new(engine::Seen::default());
-    tokio::spawn(engine::serve(listener, seen.clone()));
-    let platform = Platform::new(number, address);
+    let Field {
+        platform,
+        seen,
+        told,
+        clients,
+    } = Field::new(number).await;
     let mut serving = platform.start();
     serving.ready().await;
-    let told = Arc::new(Told::default());
-    let clients = (0..CLIENTS as u64).map(|client| {
-        let address = platform.socket.local_addr().expect("an address");
-        tokio::spawn(self::client(
-            address,
-            number << 32 | client << 16 | 1,
-            told.clone(),
-        ))
-    });
-    let clients: Vec<_> = clients.collect();
     let mut count = 0;
     for seed in seeds {
         serving = upgrade(&platform, serving, seed, &told).await;
         count += 1;
         assert_eq!(told.lost(), Vec::<String>::new(), "seed {seed}");
     }
-    told.over.store(true, Ordering::Relaxed);
-    for client in clients {
-        timeout(HANGS, client)
-            .await
-            .expect("it ends")
-            .expect("no panic");
-    }
-    assert_eq!(told.lost(), Vec::<String>::new());
+    finish(&told, clients).await;
     assert_eq!(seen.doubled(), 0, "a load was sent twice");
     let served = told.served.load(Ordering::Relaxed);
     assert!(served > 20 * count, "{served} served in {count} upgrades");
@@ -411,6 +441,44 @@
     run(4, 78..104);
 }
 
+#[test]
+fn drains_lose_no_request_and_every_kept_connection_goes() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(async {
+        let Field {
+            platform,
+            seen,
+            told,
+            clients,
+        } = Field::new(5).await;
+        let mut serving = platform.start();
+        serving.ready().await;
+        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        for _ in 0..3 {
+            let served = count(&told.served);
+            while count(&told.served) < served + 50 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let answer = serving.call("LAMEDUCK").await;
+            assert!(answer.starts_with("200") && serving.call("PING").await.starts_with("400"));
+            // Each client has lost its connection, and then been turned away, several times.
+            let refused = count(&told.refused);
+            while count(&told.refused) < refused + 10 * CLIENTS as u64 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let served = count(&told.served);
+            sleep(Duration::from_millis(50)).await;
+            assert_eq!(count(&told.served), served, "nobody is kept");
+            let answer = serving.call("REJOIN").await;
+            assert!(answer.starts_with("200") && serving.call("PING").await.starts_with("200"));
+        }
+        finish(&told, clients).await;
+        assert_eq!(seen.doubled(), 0, "a load was sent twice");
+    });
+}
+
 /// The checker itself: a dispatcher that takes a request and closes is caught, and one that is slow is not.
 #[test]
 fn a_dispatcher_that_drops_requests_is_caught() {
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -11,6 +11,7 @@
 use sedgebeam_port::{Answer, Broken, Delivery, Failure, Pending, SessionKey};
 use std::io;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::{Encoder, Framed};
@@ -22,6 +23,9 @@
 /// The pause before anything more is read of a client whose message was of no use, doubled with each in a
 /// row: one that sends the same again at once takes no time from the others.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
+/// A connection that is turned away has so long to take its word and go, and may say so much meanwhile.
+const FAREWELL: Duration = Duration::from_millis(500);
+const MOST_FAREWELL: u64 = 64 * 1024;
 /// So many of them in a row end the session, all within the 3 s in which such a client is owed a word.
 const MOST_USELESS: u32 = 7;
 
@@ -62,18 +66,28 @@
     Draining,
 }
 
-/// Refuses a connection; what does not fit its empty buffer is let go.
-pub fn turn_away(stream: &TcpStream, why: Away) {
+/// Refuses a connection. It is closed only once its client has closed it, or after a while: closing on what the
+/// client has said and nobody has read would take the word away from it.
+pub async fn turn_away(mut stream: TcpStream, why: Away) {
     let told = match why {
         Away::NoPlace => refusal("53300", "there are too many sessions; nothing ran"),
         Away::Draining => draining(),
     };
     let mut bytes = BytesMut::new();
     // Nothing is read with this one.
-    if Pg::new(0).encode(Say::Error(told), &mut bytes).is_ok()
-        && let Err(error) = stream.try_write(&bytes)
-    {
-        log::debug!("a connection that was turned away: {error}");
+    if Pg::new(0).encode(Say::Error(told), &mut bytes).is_err() {
+        return;
+    }
+    let farewell = async {
+        stream.write_all(&bytes).await?;
+        stream.shutdown().await?;
+        let mut rest = stream.take(MOST_FAREWELL);
+        tokio::io::copy(&mut rest, &mut tokio::io::sink()).await
+    };
+    match timeout(FAREWELL, farewell).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => log::debug!("a connection that was turned away: {error}"),
+        Err(_) => log::debug!("a connection that was turned away stays"),
     }
 }
 
