Keep an attempt with its engine's actor until its connection is up

Ruled out: answers given twice (each log has one), the deadline timer, clients' cancels, the hand-over of several workers (one here). At fault: Actor::send and Actor::abort in engines/src/resp/mod.rs queued a fetch in a connection that was not up, where nothing can take it back.

Now the actor keeps it until the connection is up; given up before, it is dropped; taken back for a drain, its connection may stay. The time that the engine is told is what is left.

--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -11,7 +11,7 @@
 };
 use sedgebeam_settings::Connections;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
 struct Bench {
@@ -25,8 +25,13 @@
     let endpoint = listener.local_addr().expect("an address").to_string();
     let (engine, role) = peer();
     tokio::spawn(engines::resp(listener, role));
+    before(engine, endpoint, 3)
+}
+
+/// An actor before the engine at this endpoint, with so many connections at the most.
+fn before(engine: Peer, endpoint: String, most: usize) -> Bench {
     let connections = Connections {
-        most: 3,
+        most,
         max_streams: 2,
         connect_timeout: Micros::from_millis(5000),
         idle: Micros::from_millis(30_000),
@@ -253,3 +258,41 @@
         });
     }
 }
+
+/// A connection that comes up late must not bring what was given up while it was awaited: another attempt may have
+/// answered the request by then.
+#[test]
+fn what_is_given_up_while_its_connection_comes_up_is_never_written() {
+    inside(|| async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket
+            .bind("127.0.0.1:0".parse().expect("an address"))
+            .expect("a port");
+        let listener = socket.listen(0).expect("listens");
+        let endpoint = listener.local_addr().expect("an address").to_string();
+        // Those that are not accepted fill the engine's table: what comes then waits.
+        let mut first = Vec::new();
+        while let Ok(Ok(stream)) =
+            tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(&endpoint)).await
+        {
+            first.push(stream);
+        }
+        let (engine, role) = peer();
+        let mut bench = before(engine, endpoint, 1);
+        bench.send(1, 0).await;
+        bench.send(2, 0).await;
+        bench.ask(ToEngine::Abort(RequestId(1), AttemptNo(0))).await;
+        // The actor has heard all of it before the table has room.
+        while bench.actor.capacity() < bench.actor.max_capacity() {
+            tokio::task::yield_now().await;
+        }
+        drop(first);
+        tokio::spawn(engines::resp(listener, role));
+        bench.hears("fetch 2").await;
+        bench.says("2 OK 1 a|b|c");
+        assert!(matches!(
+            bench.report().await,
+            Report::Ended(RequestId(2), _, End::Ok { .. })
+        ));
+    });
+}
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -32,8 +32,8 @@
     number: AttemptNo,
     connection: Number,
     sent: Instant,
-    /// Not yet written, as the connection is only being made.
-    unwritten: bool,
+    /// What is to be written once the connection is up; none once it has been handed to it.
+    waiting: Option<Attempt>,
     /// The good answer, while pages of it are still to come.
     result: Option<Partial>,
 }
@@ -119,7 +119,10 @@
             ToEngine::Send(attempt) => self.send(attempt).await,
             ToEngine::Abort(id, number) => self.abort(id, number),
             ToEngine::Renice(id, number, rank) => {
-                if let Some(out) = self.out.get(&id).filter(|out| out.number == number) {
+                let out = self.out.get_mut(&id).filter(|out| out.number == number);
+                if let Some(attempt) = out.and_then(|out| out.waiting.as_mut()) {
+                    attempt.rank = rank;
+                } else if let Some(out) = self.out.get(&id).filter(|out| out.number == number) {
                     self.command(out.connection, Command::Renice(id, rank));
                 }
             }
@@ -134,30 +137,52 @@
 
     async fn send(&mut self, attempt: Attempt) {
         let (id, number) = (attempt.request, attempt.number);
-        let sent = self
-            .connection_for(Some(id))
-            .filter(|connection| self.command(*connection, Command::Fetch(attempt)));
-        let Some(connection) = sent else {
-            self.reports.ended(id, number, End::ConnectFailed).await;
-            return;
+        let Some(connection) = self.connection_for(Some(id)) else {
+            return self.never(id, number).await;
         };
-        let unwritten = match self.connections.get_mut(&connection) {
+        let up = match self.connections.get_mut(&connection) {
             Some(connection) => {
                 connection.out += 1;
-                !connection.up
+                connection.up
             }
-            None => true,
+            None => false,
         };
-        self.out.insert(
-            id,
-            Out {
-                number,
-                connection,
-                sent: Instant::now(),
-                unwritten,
-                result: None,
-            },
-        );
+        let out = Out {
+            number,
+            connection,
+            sent: Instant::now(),
+            waiting: Some(attempt),
+            result: None,
+        };
+        self.out.insert(id, out);
+        if up {
+            self.write(id).await;
+        }
+    }
+
+    /// Hands an attempt to its connection, which is up. One that waits for its connection stays here until then: it may
+    /// be given up meanwhile, and must not be written after another attempt has answered its request.
+    async fn write(&mut self, id: RequestId) {
+        let Some(out) = self.out.get_mut(&id) else {
+            return;
+        };
+        let (connection, number, waited) = (out.connection, out.number, out.sent.elapsed());
+        let Some(mut attempt) = out.waiting.take() else {
+            return;
+        };
+        attempt.timeout = attempt.timeout.saturating_sub(waited);
+        if !self.command(connection, Command::Fetch(attempt)) {
+            self.out.remove(&id);
+            if let Some(connection) = self.connections.get_mut(&connection) {
+                connection.ended();
+            }
+            self.never(id, number).await;
+        }
+    }
+
+    /// An attempt was not written to any connection.
+    async fn never(&self, id: RequestId, number: AttemptNo) {
+        self.reports.ended(id, number, End::ConnectFailed).await;
     }
 
     /// The connection that was idle least long, or a new one while there may be more, or the one that carries
@@ -204,6 +229,12 @@
             self.out.insert(id, out);
             return;
         }
+        if out.waiting.is_some() {
+            if let Some(connection) = self.connections.get_mut(&out.connection) {
+                connection.ended();
+            }
+            return;
+        }
         // Of a result that is on its way no more is wanted; all else is called off.
         let command = match out.result {
             Some(_) => Command::Done(id),
@@ -307,8 +338,11 @@
                 if let Some(connection) = self.connections.get_mut(&number) {
                     connection.up = true;
                 }
-                let here = self.out.values_mut().filter(|out| out.connection == number);
-                here.for_each(|out| out.unwritten = false);
+                let waiting = self.out.iter().filter(|(_, out)| out.connection == number);
+                let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
+                for id in waiting {
+                    self.write(id).await;
+                }
             }
             Came::Reply(reply) => self.reply(number, reply).await,
             Came::Down { unwritten } => self.down(number, &unwritten).await,
@@ -363,15 +397,12 @@
     // ---- Connections ----
 
     async fn down(&mut self, number: Number, unwritten: &[RequestId]) {
-        let was_up = self
-            .connections
-            .remove(&number)
-            .is_some_and(|connection| connection.up);
+        self.connections.remove(&number);
         let here = self.out.extract_if(|_, out| out.connection == number);
         let lost: Vec<(RequestId, Out)> = here.collect();
         for (id, out) in lost {
             let answered = out.result.is_some();
-            let never = !answered && (!was_up || unwritten.contains(&id));
+            let never = !answered && (out.waiting.is_some() || unwritten.contains(&id));
             let end = if never {
                 End::ConnectFailed
             } else {
@@ -387,16 +418,18 @@
         self.down(number, &[]).await;
     }
 
-    /// What waits for a connection to come up has not been written and is taken back. All these connections
-    /// go before the first is told of: while that waits for the broker, another might come up and write.
+    /// What waits for a connection to come up has not been written and is taken back, all of it before the first is
+    /// told of: while that waits for the broker, a connection might come up.
     async fn nothing_new(&mut self) {
-        let waiting = self.out.extract_if(|_, out| out.unwritten);
+        let waiting = self.out.extract_if(|_, out| out.waiting.is_some());
         let waiting: Vec<(RequestId, Out)> = waiting.collect();
         for (_, out) in &waiting {
-            self.connections.remove(&out.connection);
+            if let Some(connection) = self.connections.get_mut(&out.connection) {
+                connection.ended();
+            }
         }
         for (id, out) in waiting {
-            self.reports.ended(id, out.number, End::ConnectFailed).await;
+            self.never(id, out.number).await;
         }
     }
 
