Follow the change log with drawn, growing pauses, and play whole fleets in virtual time

Need: 300 followers of one log. Read in dispatcher/src/roster.rs: pauses of 50 to 250 ms without a draw, so 350 followers of a log that is away ask 1,400 times a second in step; one event that gets lost has all of them ask for their whole list, which was told event by event, an old list first: engines were forgotten for a moment (shown by the property test, which has the list of some one number at every moment).

roster/src/follow.rs decides, without I/O: pauses drawn, 1 ms a follower at first, 5 ms at the most, 2 s at the very most (what the log tells counts as told after 7 s); a gap is asked for once more from the number reached and only then has the whole list, told as one.

--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -3,6 +3,7 @@
 use futures::StreamExt;
 use miniserde::{Deserialize, json};
 use sedgebeam_port::{Desk, Listing, Target, apply};
+use sedgebeam_roster::{Follower, Next, Pauses};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,8 +59,6 @@
 /// was all.
 const CAUGHT_UP: Duration = Duration::from_millis(150);
 const CONNECT: Duration = Duration::from_millis(1000);
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
 /// Folds the changes up to the start into the list that they leave.
 pub fn fold(changes: Vec<Change>) -> Vec<Target> {
@@ -75,8 +74,9 @@
     mut address: watch::Receiver<Option<SocketAddr>>,
     reached: watch::Sender<Reached>,
     desk: Desk,
+    mut pauses: Pauses,
 ) {
-    let mut pause = FIRST_PAUSE;
+    let mut follower = Follower::new(reached.borrow().seq);
     loop {
         let before = reached.borrow().seq;
         let Some(current) = *address.borrow_and_update() else {
@@ -85,24 +85,22 @@
         };
         tokio::select! {
             biased;
-            // The old log tells nothing more: the new one is asked at once, with the number reached.
-            () = moved(&mut address) => {
-                pause = FIRST_PAUSE;
-                continue;
-            }
-            ended = listen(current, &reached, &desk) => match ended {
+            // The old log tells nothing more: the new one is asked, with the number reached.
+            () = moved(&mut address) => pauses.heard(),
+            ended = listen(current, &reached, &desk, &mut follower) => match ended {
                 Ok(()) => log::info!("the change log ended the connection after {}", reached.borrow().seq),
                 Err(error) => log::warn!("the change log after {}: {error}", reached.borrow().seq),
             },
         }
-        pause = if reached.borrow().seq > before {
-            FIRST_PAUSE
-        } else {
-            (pause * 2).min(LONGEST_PAUSE)
-        };
+        if reached.borrow().seq > before {
+            pauses.heard();
+        }
         tokio::select! {
-            () = moved(&mut address) => pause = FIRST_PAUSE,
-            () = sleep(pause) => {}
+            () = moved(&mut address) => {
+                pauses.heard();
+                sleep(pauses.draw()).await;
+            }
+            () = sleep(pauses.draw()) => {}
         }
     }
 }
@@ -119,54 +117,71 @@
     address: SocketAddr,
     reached: &watch::Sender<Reached>,
     desk: &Desk,
+    follower: &mut Follower,
 ) -> io::Result<()> {
-    let seq = || reached.borrow().seq;
     let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no word for too long");
     let mut stream = timeout(CONNECT, TcpStream::connect(address))
         .await
         .map_err(late)??;
     stream.set_nodelay(true)?;
+    let after = follower.asks_after();
     let request = format!(
-        "GET /changes HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
-        seq()
+        "GET /changes HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {after}\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await?;
     let mut lines = FramedRead::new(stream, Events::default());
-    // A gap shows on the connection on which it came: what follows is trusted only after a whole list.
     loop {
         let event = match timeout(CAUGHT_UP, lines.next()).await {
             Ok(event) => event,
             Err(_) => {
-                reached.send_modify(|reached| reached.caught_up |= lines.decoder().begun);
-                timeout(SILENCE - CAUGHT_UP, lines.next())
-                    .await
-                    .map_err(late)?
+                if lines.decoder().begun {
+                    if !tell(follower.quiet(), reached, desk, follower).await {
+                        return Ok(());
+                    }
+                    reached.send_modify(|reached| reached.caught_up = true);
+                }
+                let rest = timeout(SILENCE - CAUGHT_UP, lines.next());
+                rest.await.map_err(late)?
             }
         };
         let Some(event) = event else { return Ok(()) };
         let Some(change) = event? else { continue };
-        // An event that is told again is an old state, also where it holds the whole list.
-        if change.seq <= seq() {
-            continue;
-        }
-        let listing = change.listing();
-        if listing == Listing::Changes && change.seq > seq() + 1 {
-            let why = format!(
-                "{} follows {}: asking for the whole list",
-                change.seq,
-                seq()
-            );
-            reached.send_modify(|reached| reached.seq = 0);
+        let (seq, listing) = (change.seq, change.listing());
+        let next = follower.hear(seq, listing, change.fleet.targets);
+        if next == Next::Again {
+            let what = if follower.rebuilds() {
+                "asking for the whole list"
+            } else {
+                "asking for what is missing"
+            };
+            let why = format!("{seq} follows {}: {what}", reached.borrow().seq);
             return Err(io::Error::other(why));
         }
-        if desk.list(listing, change.fleet.targets).await.is_err() {
+        if !tell(next, reached, desk, follower).await {
             return Ok(());
         }
-        // Only now: what is dropped while it waits for the broker has not been told.
-        reached.send_modify(|reached| reached.seq = change.seq);
     }
 }
 
+/// Tells the brokers what follows from what the change log said; false where nobody takes it any more.
+async fn tell(
+    next: Next,
+    reached: &watch::Sender<Reached>,
+    desk: &Desk,
+    follower: &mut Follower,
+) -> bool {
+    let Next::Tell(seq, listing, targets) = next else {
+        return true;
+    };
+    if desk.list(listing, targets).await.is_err() {
+        return false;
+    }
+    // Only now: what is dropped while it waits for the broker has not been told.
+    follower.told(seq);
+    reached.send_modify(|reached| reached.seq = seq);
+    true
+}
+
 /// Decodes the answer of the change log: its head, and then its events; `None` for a sign of life.
 #[derive(Default)]
 struct Events {
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -19,6 +19,7 @@
 use sedgebeam_operation::{Drain, Figures, Newcomers, Orders};
 use sedgebeam_port::clock::{Clock, duration};
 use sedgebeam_port::{Asked, Desk, Listing, SessionKey, supervise};
+use sedgebeam_roster::Pauses;
 use sedgebeam_settings::Connections;
 use std::io;
 use std::net::SocketAddr;
@@ -124,9 +125,10 @@
         seq,
         caught_up: false,
     });
+    let pauses = Pauses::new(config.settings.gateways, config.seed);
     supervise::vital(
         "the change log",
-        roster::follow(address, reached, desk.clone()),
+        roster::follow(address, reached, desk.clone(), pauses),
     );
     let (retired, news) = watch::channel(());
     let names = desk.clone();
--- a/dispatcher/tests/scenarios/life.rs
+++ b/dispatcher/tests/scenarios/life.rs
@@ -51,9 +51,13 @@
 }
 
 #[test]
-fn a_gap_in_the_change_log_asks_for_the_whole_list() {
+fn a_gap_in_the_change_log_asks_for_what_is_missing_and_then_for_the_whole_list() {
     Stage::new(&["e1", "log"]).play(
         "log expect asked 1
+         log send 4 draining e1 @e1
+         app wait asking for what is missing
+         log close
+         log expect asked 1
          log send 4 draining e1 @e1
          app wait asking for the whole list
          log close
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod decide;
 pub mod door;
 pub mod engine;
+pub mod fleet;
 pub mod load;
 pub mod plan;
 pub mod program;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line.
 
 use clap::{Parser, Subcommand};
-use sedgebeam_lab::{cores, decide, door};
+use sedgebeam_lab::{cores, decide, door, fleet};
 use std::process::ExitCode;
 
 /// Experiments on the dispatcher: the real program between stand-in engines and open-loop load, on loopback.
@@ -20,6 +20,8 @@
     Decide(decide::Decide),
     /// How long operators wait at the door while the program is asked for more than it can do.
     Door(door::Door),
+    /// What whole fleets serve in virtual time when some of it breaks, and which door turned the rest away.
+    Fleet(fleet::Fleet),
 }
 
 fn main() -> ExitCode {
@@ -27,6 +29,7 @@
         Experiment::Cores(cores) => cores.run(),
         Experiment::Decide(decide) => decide.run(),
         Experiment::Door(door) => door.run(),
+        Experiment::Fleet(fleet) => fleet.run(),
     };
     match ran {
         Ok(()) => ExitCode::SUCCESS,
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -1,4 +1,8 @@
-//! Engines as a list names them, wherever the list comes from. No I/O.
+//! Engines as a list names them, wherever the list comes from, and how it is followed. No I/O.
+
+mod follow;
+
+pub use follow::{Follower, Next, Pauses};
 
 use miniserde::{Deserialize, Serialize};
 
