Make rights on cold engines room of their own, and share them by what can be brought

Checked: the rights are there (what is granted is all that a cold engine can do); ruled out: their margin and their life (longer ones under the same bound are used no more, by arithmetic: met chance times margin is flat). At fault: choose() in src/policy.rs asked fleet_room() first, which counts what is out on warm engines, so a crowd there closed the door to rights on cold ones; light queries took warm engines though their rights are always open; and classes had parts by work asked for, though a right to a heavy query is met by one in three only.

Now a right is room of its own, there alone; what is out on cold engines does not count as room taken on warm ones; rights come first for all classes; a class's part is its work times the chance that a request comes in a right's life (fleet/src/cold.rs). The bound on the sum stands as before.

--- a/fleet/src/cold.rs
+++ b/fleet/src/cold.rs
@@ -29,17 +29,19 @@
 }
 
 impl Warming {
-    /// Share of a starting engine's capacity, once warm, that is granted to all gateways at this age.
-    pub fn granted_share(&self, age: u64) -> f64 {
-        self.margin() * self.able(age)
-    }
-
     /// Share of its capacity that it has at this age, taken to grow evenly.
     pub fn able(&self, age: u64) -> f64 {
         let grown = age as f64 / self.warm_after.max(1) as f64;
         self.start + (1.0 - self.start) * grown.min(1.0)
     }
 
+    /// How likely a right is used while it is open, where so many requests that could use it come a second. A right that
+    /// nobody comes for is lost, so what is granted goes to classes by the work that they will bring.
+    pub fn met(&self, rate: f64) -> f64 {
+        let life = (LASTS * self.window) as f64 / 1e6;
+        1.0 - (-rate * life).exp()
+    }
+
     /// Share of what it can do that is granted.
     fn margin(&self) -> f64 {
         (self.multiple * MARGIN / (1 + LASTS) as f64).min(1.0)
--- a/fleet/tests/cold.rs
+++ b/fleet/tests/cold.rs
@@ -119,14 +119,24 @@
     assert!(worst(&all, 12.0) > 1.0);
 }
 
-/// Room on a starting engine is what is granted there, so that the rest does not come on top of warm ones.
+/// What is granted follows what the engine can do, up to its margin, and ends when it is warm.
 #[test]
-fn what_is_granted_grows_from_its_start_to_what_the_margin_leaves() {
+fn what_is_granted_grows_with_what_the_engine_can_do() {
     let warming = warming(100);
-    let (first, last) = (warming.granted_share(0), warming.granted_share(14_000 * MS));
+    let granted = |age: u64| warming.granted(age * MS, 12.0);
+    let (first, last) = (granted(100), granted(14_000) - granted(13_900));
+    let part = first / last;
     assert!(
-        (first / last - 0.3).abs() < 1e-9 && last <= 1.0,
+        (part - 0.3).abs() < 0.01 && last <= 0.1 * 12.0 / 100.0,
         "{first} {last}"
     );
-    assert_eq!(warming.granted_share(60_000 * MS), last);
+    assert_eq!(granted(60_000), granted(14_000));
+}
+
+/// A right that nobody comes for is lost: a class counts by how likely one of its requests comes in its life.
+#[test]
+fn a_right_is_met_by_what_comes_while_it_is_open() {
+    let warming = warming(100);
+    let met = [0.0, 0.25, 0.5, 3.0].map(|rate| warming.met(rate));
+    assert!(met[0] == 0.0 && met[3] > 0.95 && met.is_sorted(), "{met:?}");
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -287,7 +287,7 @@
         }
         let light = self.light(request.class);
         let (mut threads, mut memory_mb) = (0.0, 0.0);
-        let out = |other: &&Request| other.attempts_out() > 0;
+        let out = |other: &&Request| other.attempts_out() > 0 && !self.on_cold(other);
         let own = self.requests.values().filter(out);
         let own = own.map(|other| (other.class, other.threads, other.memory_held));
         for (class, held, memory_held) in own.chain(self.elsewhere.out()) {
@@ -475,10 +475,11 @@
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let group = request.query.group;
+        let mut eligible = self.eligible(request);
+        // A right on a cold engine is room of its own, there alone.
         if !self.fleet_room(request) {
-            return None;
+            eligible.retain(|engine| self.by_rights() && self.is_cold(engine, self.now));
         }
-        let mut eligible = self.eligible(request);
         // Behind a load of its own group a query would hold memory and threads and stand still; loads
         // leave most engines free of their group for the queries that would wait.
         let held = |engine: &EngineView| self.held_there(engine, group);
@@ -507,7 +508,7 @@
         eligible.retain(|engine| self.has_slot(engine, request));
         prefer(&mut eligible, |engine| !request.tried(engine.entry.id));
         // A right on a cold engine is rare for a heavy query, and lost when not used.
-        if self.by_rights() && !self.light(request.class) {
+        if self.by_rights() {
             prefer(&mut eligible, |engine| self.is_cold(engine, self.now));
         }
         self.in_order(request, &mut eligible);
--- a/src/warming.rs
+++ b/src/warming.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::Micros;
 use crate::policy::Gateway;
-use crate::state::{EngineView, Request, mix};
+use crate::state::{Attempt, EngineView, Request, mix};
 use sedgebeam_fleet::cold;
 
 /// Share of the gateway's part of a cold engine's budget that is used: estimates scatter.
@@ -34,8 +34,19 @@
         if engine.rests(self.now) {
             return 0.0;
         }
-        let cold = engine.cold_age(self.now, self.settings.warm_after);
-        cold.map_or(1.0, |age| self.settings.warming().granted_share(age))
+        if self.is_cold(engine, self.now) {
+            0.0
+        } else {
+            1.0
+        }
+    }
+
+    /// Whether what is out of the request is on a cold engine, by a right of its own.
+    pub(crate) fn on_cold(&self, request: &Request) -> bool {
+        let out = |attempt: &&Attempt| attempt.outcome.is_none();
+        let attempt = request.attempts.iter().rfind(out);
+        let engine = attempt.and_then(|attempt| self.engines.get(&attempt.engine));
+        self.by_rights() && engine.is_some_and(|engine| self.is_cold(engine, self.now))
     }
 
     /// A cold engine gets this gateway's part of what it can bear in any window, and nothing before an
@@ -66,11 +77,15 @@
         let warming = settings.warming();
         let works = (0..settings.classes.len()).map(|class| self.weight(class));
         let works: Vec<f64> = works.collect();
-        let asked = self.usual.iter().zip(&works).zip(&settings.classes);
         // One of each class is taken for asked already: a gateway that has just started knows of none.
+        let taken: f64 = self.usual.iter().map(|usual| usual.taken + 1.0).sum();
+        let asked = self.usual.iter().zip(&works).zip(&settings.classes);
         let asked = asked.map(|((usual, work), class)| match class.retired {
             true => 0.0,
-            false => (usual.taken + 1.0) * work,
+            false => {
+                let part = (usual.taken + 1.0) / taken;
+                part * work * warming.met(part * self.multiple.rate())
+            }
         });
         let asked: Vec<f64> = asked.collect();
         let all = asked.iter().sum::<f64>().max(f64::MIN_POSITIVE);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -190,12 +190,15 @@
     }
 }
 
-/// Without this what may not be sent to cold engines all came on top of the warm ones, which then paged.
+/// Without this what waited for cold engines came on top of warm ones, and what was out on warm ones kept rights on cold
+/// engines from being used: six in ten engines were new, and got a seventh of what they could do.
 #[test]
-fn cold_engines_are_room_only_for_what_is_granted_on_them() {
+fn cold_engines_are_room_of_their_own_by_rights() {
     let sent = |cold: u64| {
         let mut bench = Bench::with_engines(crowd(), 8);
         answers(&mut bench, 100..=140, 60);
+        // What an earlier life of this gateway sent is over.
+        bench.wait(2500);
         let started_at = bench.now;
         for id in 1..=cold {
             let started = Engine {
@@ -204,15 +207,27 @@
             };
             bench.change(started);
         }
-        (1..=60)
-            .map(|id| sends(&bench.request(id, LIGHT)).len())
-            .sum::<usize>()
+        let ask = |id| sends(&bench.request(id, LIGHT)).len();
+        let at_once = (1..=60).map(ask).sum::<usize>();
+        // Nothing has ended: what goes out now goes by rights that open.
+        let mut later = Vec::new();
+        for id in 200..=260 {
+            later.extend(sends(&bench.wait(20)));
+            later.extend(sends(&bench.request(id, LIGHT)));
+        }
+        (at_once, later)
     };
-    let (all, few) = (sent(0), sent(6));
+    let ((all, none), (few, by_rights)) = (sent(0), sent(6));
     assert!(
         few > 0 && few * 2 < all,
         "{few} with 6 of 8 cold, else {all}"
     );
+    assert!(none.is_empty(), "its room is full: {none:?}");
+    let cold = |engine: &EngineId| engine.0 <= 6;
+    assert!(
+        !by_rights.is_empty() && by_rights.iter().all(cold),
+        "{by_rights:?}"
+    );
 }
 
 /// Without this the only request of a tenant with a small share was the one turned away, whoever else waited.
--- a/virtual/tests/days.rs
+++ b/virtual/tests/days.rs
@@ -90,7 +90,7 @@
     for (gateways, engines) in [(3, 7), (30, 7), (30, 30), (100, 30), (100, 60)] {
         let world = day(Deployment::usual(gateways, engines), "replaced", 9, 8000);
         let used = world.cold_used();
-        assert!(used > 0.05, "{gateways}/{engines}: {used}");
+        assert!(used > 0.1, "{gateways}/{engines}: {used}");
         let classes = &world.cold_work;
         assert!(
             gateways < 30 || classes.iter().all(|work| *work > 0.0),
