Bound a gateway's multiple by what all bear at once and by the chance of its traffic

At fault: MOST in fleet/src/crowd.rs let a part grow to eight times by answers of a quiet time; all use it at once.

Now the most is one part and two thirds of a standard deviation of the heaviest queries that a part holds, so that a small part may meet chance bursts: 1.5 with 300 gateways and 80 engines, 1.9 with 64 and 8.

--- a/fleet/src/crowd.rs
+++ b/fleet/src/crowd.rs
@@ -1,10 +1,9 @@
 //! How much of the fleet one gateway may have out at once, following what answers tell of crowds.
 
 /// Step of the multiple, as a log ratio: down for an answer that tells of a crowd, this share of it up for
-/// another, so that it settles where a fifth tell of one; and the most it grows to.
+/// another, so that it settles where a fifth tell of one.
 const STEP: f64 = 0.1;
 const RISE: f64 = 0.25;
-const MOST: f64 = 8.0;
 /// Time over which a gateway's traffic is taken, in seconds: longer than a burst, which is everybody's, and
 /// shorter than the front takes to spread its clients anew.
 const TRAFFIC_OVER: f64 = 10.0;
@@ -16,36 +15,45 @@
 pub struct Multiple {
     now: f64,
     least: f64,
+    most: f64,
     traffic: Traffic,
 }
 
 impl Multiple {
-    /// It starts at so much and never falls below the least; where told, so many requests a second come to
-    /// each gateway.
-    pub fn new(start: f64, least: f64, usual: f64) -> Multiple {
+    /// It starts at so much and stays from the least to the most; where told, so many requests a second come to
+    /// each gateway. What a quiet time has it grow to, all gateways use at once when a burst comes, and what answers
+    /// tell of that is heard only once engines are full: the most is what engines bear of all together.
+    pub fn new(start: f64, (least, most): (f64, f64), usual: f64) -> Multiple {
         let traffic = Traffic {
             usual,
             recent: usual * TRAFFIC_OVER,
             at: None,
         };
         Multiple {
-            now: start,
+            now: start.clamp(least, most.max(least)),
             least,
+            most: most.max(least),
             traffic,
         }
     }
 
     /// Takes other bounds and another usual traffic; what answers told stays.
     pub fn retune(&mut self, other: Multiple) {
-        self.least = other.least;
-        self.now = self.now.max(other.least);
+        (self.least, self.most) = (other.least, other.most);
+        self.now = self.now.clamp(self.least, self.most);
         self.traffic.usual = other.traffic.usual;
     }
 
+    /// Takes another most: it follows from the size of a part, which changes with the list of engines.
+    pub fn bound(&mut self, most: f64) {
+        self.most = most.max(self.least);
+        self.now = self.now.min(self.most);
+    }
+
     /// A sign of a crowd, or of none.
     pub fn follow(&mut self, crowded: bool) {
         let step = STEP * if crowded { -1.0 } else { RISE };
-        self.now = (self.now * step.exp()).clamp(self.least, MOST);
+        self.now = (self.now * step.exp()).clamp(self.least, self.most);
     }
 
     /// Even parts of the fleet that the traffic alone would not give; for another process of this gateway.
@@ -56,7 +64,7 @@
     /// Takes over what answers told an earlier process; what is no number is not heeded.
     pub fn take_over(&mut self, now: f64) {
         if now.is_finite() {
-            self.now = now.clamp(self.least, MOST);
+            self.now = now.clamp(self.least, self.most);
         }
     }
 
@@ -117,13 +125,32 @@
 
     /// The parts of a gateway that is asked so many times a second for so many seconds.
     fn parts(usual: f64, rate: u64, seconds: u64) -> f64 {
-        let mut multiple = Multiple::new(2.0, 0.5, usual);
+        let mut multiple = Multiple::new(2.0, (0.5, 8.0), usual);
         for count in 0..rate * seconds {
             multiple.asked(count * 1_000_000 / rate);
         }
         multiple.parts(0.0)
     }
 
+    #[test]
+    fn it_stays_within_its_bounds_whatever_answers_tell() {
+        let mut multiple = Multiple::new(2.0, (0.25, 1.5), 0.0);
+        let mut after = |crowded, count| {
+            (0..count).for_each(|_| multiple.follow(crowded));
+            multiple.handed_over()
+        };
+        assert_eq!(after(false, 0), 1.5);
+        assert_eq!(after(true, 1000), 0.25);
+        assert!((after(false, 20) - 0.25 * 0.5_f64.exp()).abs() < 1e-9);
+        assert_eq!(after(false, 1000), 1.5);
+        multiple.retune(Multiple::new(2.0, (2.0, 1.0), 0.0));
+        assert_eq!(
+            multiple.handed_over(),
+            2.0,
+            "the least counts over the most"
+        );
+    }
+
     #[test]
     fn room_follows_the_traffic_of_a_gateway_and_not_a_short_burst() {
         assert!((parts(7.0, 7, 60) - 2.0).abs() < 0.1);
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -26,6 +26,9 @@
     /// The length of each day, in seconds, before what is open ends.
     #[arg(long, default_value_t = 12.0)]
     seconds: f64,
+    /// Print the share of worth served, by the second in which it was asked for.
+    #[arg(long)]
+    by_second: bool,
 }
 
 fn wrong(what: &str) -> io::Error {
@@ -99,6 +102,14 @@
             );
         }
         println!("   ({:.1} s)", began.elapsed().as_secs_f64());
+        if self.by_second {
+            let served = world
+                .by_second
+                .iter()
+                .map(|(asked, served)| served / asked.max(1e-9));
+            let served: Vec<String> = served.map(|part| format!("{part:.2}")).collect();
+            println!("  {}", served.join(" "));
+        }
         for (rule, how) in &world.verdict.broken {
             println!("  BROKEN {rule:?}: {how:?}");
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -238,6 +238,7 @@
         }
         paces.sort_by(f64::total_cmp);
         fleet.pace = paces.get(paces.len() / 2).copied().unwrap_or(0.0);
+        self.multiple.bound(self.settings.most_parts(fleet.threads));
         self.fleet = fleet;
     }
 
--- a/src/scale.rs
+++ b/src/scale.rs
@@ -9,6 +9,10 @@
 pub(crate) const THREADS_PER_CORE: f64 = 2.0;
 /// Least multiple of its part that a gateway may have out: enough to hear when a crowd is over.
 const LEAST_PART: f64 = 0.25;
+/// Most multiple of all.
+const MOST_PARTS: f64 = 8.0;
+/// Standard deviations of a gateway's own traffic that it may have out beyond its part.
+const CHANCE: f64 = 0.667;
 /// The lightest query takes about this part of its time limit.
 const LIGHTEST_PART: f64 = 0.25;
 
@@ -38,20 +42,37 @@
 
     /// How much of the fleet a gateway may have out. Engines with a line for memory bound themselves what they run.
     pub(crate) fn multiple(&self) -> Multiple {
-        let least = if self.memory_line {
-            OWN_EXCESS
+        let bounds = if self.memory_line {
+            (OWN_EXCESS, MOST_PARTS)
         } else {
-            LEAST_PART
+            (LEAST_PART, OWN_EXCESS)
         };
-        Multiple::new(OWN_EXCESS, least, self.usual_rate())
+        Multiple::new(OWN_EXCESS, bounds, self.usual_rate())
+    }
+
+    /// The most of that, for a gateway whose part is so many threads: what engines bear of all together, and what its own
+    /// traffic scatters by chance, which is more the fewer of the heaviest queries a part holds.
+    pub(crate) fn most_parts(&self, part: f64) -> f64 {
+        if self.memory_line {
+            return MOST_PARTS;
+        }
+        let heaviest = self.heaviest();
+        // One query must fit an engine, whatever its size.
+        let whole = heaviest / (self.most_cores() * THREADS_PER_CORE);
+        let chance = (heaviest / part.max(f64::MIN_POSITIVE)).sqrt();
+        (1.0 + CHANCE * chance).clamp(whole.max(1.0), MOST_PARTS.max(whole))
     }
 
     /// A gateway's part of an engine is less than its heaviest query: its own counts say next to nothing of
     /// the engine's load, and what is told must.
     pub(crate) fn small_part(&self) -> bool {
+        self.most_cores() * THREADS_PER_CORE < self.heaviest() * self.all_gateways()
+    }
+
+    /// Threads of the heaviest class.
+    fn heaviest(&self) -> f64 {
         let threads = self.in_use().map(|place| self.classes[place].threads);
-        let heaviest = threads.fold(1.0, f64::max);
-        self.most_cores() * THREADS_PER_CORE < heaviest * self.all_gateways()
+        threads.fold(1.0, f64::max)
     }
 
     pub(crate) fn warming(&self) -> Warming {
--- a/virtual/src/world.rs
+++ b/virtual/src/world.rs
@@ -85,6 +85,8 @@
     pub verdict: Verdict,
     /// By class.
     pub tallies: Vec<Tally>,
+    /// Worth asked for, and served in time, by the second in which it was asked.
+    pub by_second: Vec<(f64, f64)>,
     /// Work that cold engines were sent, by class, and what they could have done, in core seconds.
     pub cold_work: Vec<f64>,
     pub cold_able: f64,
@@ -125,6 +127,7 @@
             now: BEGIN,
             verdict: Verdict::default(),
             tallies: vec![Tally::default(); deployment.work.len()],
+            by_second: Vec::new(),
             cold_work: vec![0.0; deployment.work.len()],
             cold_able: 0.0,
             falls: 0,
@@ -381,6 +384,8 @@
             let tally = &mut self.tallies[asked.class];
             if self.now - asked.came <= wanted {
                 tally.in_time += 1;
+                let second = ((asked.came - BEGIN).0 / 1_000_000) as usize;
+                self.by_second[second].1 += class.worth;
             } else {
                 tally.late += 1;
             }
@@ -449,6 +454,11 @@
         };
         self.open.insert(id, asked);
         self.tallies[class].asked += 1;
+        let second = ((self.now - BEGIN).0 / 1_000_000) as usize;
+        if self.by_second.len() <= second {
+            self.by_second.resize(second + 1, (0.0, 0.0));
+        }
+        self.by_second[second].0 += self.deployment.settings.classes[class].worth;
         self.nodes[gateway].events.push(Event::Request(query));
         self.later(overdue, Due::Overdue(id));
     }
--- a/virtual/tests/days.rs
+++ b/virtual/tests/days.rs
@@ -100,6 +100,21 @@
     }
 }
 
+/// After three seconds at 1.3 times what the engines can do, most is served again ten seconds later.
+#[test]
+fn a_burst_leaves_no_crowd_behind() {
+    let mut deployment = Deployment::usual(300, 80);
+    deployment.ask(0.65);
+    let world = day(deployment, "burst", 1, 20_000);
+    let served = |from: usize, to: usize| {
+        let seconds = &world.by_second[from..to];
+        let sum = |part: fn(&(f64, f64)) -> f64| seconds.iter().map(part).sum::<f64>();
+        sum(|second| second.1) / sum(|second| second.0)
+    };
+    assert!(served(5, 10) > 0.8, "{} at first", served(5, 10));
+    assert!(served(12, 20) > 0.95, "{} in the end", served(12, 20));
+}
+
 #[test]
 fn the_same_seed_gives_the_same_day() {
     let play = |seed| {
