Look at an engine only when something may be overdue there, and count both processes for shards

Need: 300 dispatchers with 80 engines each: every engine's actor woke ten times a second with nothing out (engines/src/resp/mod.rs, an interval). The log said so before the state held (dispatcher/src/serve.rs); the order is turned round. - Seen once in four runs of the scenarios, not found: a program that ended before it served; the stage now shows the last line of its log.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -14,7 +14,7 @@
 use requests::{Open, Out};
 use sedgebeam_core::{
     Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, Held,
-    ListKind, Micros, Outcome, Query, RequestId, Settings, TimerId,
+    ListKind, Micros, Outcome, Published, Query, RequestId, Settings, TimerId,
 };
 use sedgebeam_operation::{Figures, figures};
 use sedgebeam_port::clock::{Clock, duration, span};
@@ -31,6 +31,8 @@
 
 /// Messages that may wait for the broker; their senders wait beyond it.
 const MAILBOX: usize = 4096;
+/// What another process holds counts for so long if nothing more is heard of it; it tells ten times a second.
+const BESIDE_LASTS: Micros = Micros::from_millis(1000);
 /// Messages taken before the gateway is asked again.
 const MOST_AT_ONCE: usize = 2048;
 
@@ -133,6 +135,23 @@
     classes.map(|class| class.name.as_str().into()).collect()
 }
 
+/// What other processes hold, as a shard would tell it: classes by their places here.
+fn abroad(held: &Held, classes: &[Arc<str>], until: Micros) -> Published {
+    let engines = held.engines.iter();
+    let class = |name: &Arc<str>| {
+        let held = held.classes.iter().find(|held| *held.name == **name);
+        held.map(|held| held.out).unwrap_or_default()
+    };
+    Published {
+        engines: engines
+            .map(|held| (held.engine, held.out.clone()))
+            .collect(),
+        classes: classes.iter().map(class).collect(),
+        until,
+        ..Published::default()
+    }
+}
+
 impl Broker {
     /// Runs until every sender of its mailbox but its own is gone, which is never.
     pub async fn run(mut self, mut incoming: mpsc::Receiver<ToBroker>) {
@@ -368,11 +387,15 @@
     }
 
     /// Other processes of this dispatcher hold so much. Of several shards the ledger tells each what the others
-    /// hold, and it does not know of other processes.
+    /// hold, and what other processes do; each shard hears of those and tells it the same.
     fn beside(&mut self, held: &Held, may_warm: bool) {
         let (now, nothing) = (self.clock.micros(Instant::now()), Held::default());
-        let held = if self.part.is_some() { &nothing } else { held };
-        self.gateway.beside(now, held, may_warm);
+        if let Some(part) = &self.part {
+            part.beside(now, abroad(held, &self.class_names, now + BESIDE_LASTS));
+            self.gateway.beside(now, &nothing, may_warm);
+        } else {
+            self.gateway.beside(now, held, may_warm);
+        }
     }
 
     // ---- Requests ----
--- a/broker/src/parts.rs
+++ b/broker/src/parts.rs
@@ -108,6 +108,11 @@
         lock(&self.shared.ledger).retune(terms);
     }
 
+    /// What other processes of this dispatcher hold.
+    pub fn beside(&self, now: Micros, told: Published) {
+        lock(&self.shared.ledger).beside(now, told);
+    }
+
     pub fn borrow(&self, now: Micros, wish: &Wish, open: usize) -> Loan {
         lock(&self.shared.ledger).borrow(self.shard, now, wish, open)
     }
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -27,6 +27,8 @@
 const NEW_ENGINES: usize = 2;
 /// More workers than this are no use to a dispatcher, whose shards share every engine.
 const MOST_WORKERS: usize = 64;
+/// What is divided among more dispatchers than this leaves none of them anything.
+const MOST_GATEWAYS: u32 = 65_536;
 /// No client waits for longer.
 const LONGEST: Micros = Micros::from_millis(86_400_000);
 /// Bounds of the connections to one engine.
@@ -337,6 +339,16 @@
             "it must be more than 0",
         ));
     }
+    let (gateways, me) = facts.fleet();
+    if gateways.is_some_and(|count| !(1..=MOST_GATEWAYS).contains(&count)) {
+        let why = format!("it is from 1 to {MOST_GATEWAYS}");
+        return Err(wrong("settings.balancers", why));
+    }
+    // Two with one number would take one place among the gateways, and both what is granted to it.
+    if me.is_some_and(|me| me >= gateways.unwrap_or(1)) {
+        let why = "it counts the dispatchers from 0 and is less than settings.balancers";
+        return Err(wrong("settings.me", why));
+    }
     if settings.tick == Micros(0) {
         settings.tick = Micros::from_millis(5);
     }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -191,8 +191,9 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    log::info!("ending: last call");
+    // Said once it holds: whoever reads it may ask at the door at once.
     duty.change(Drain::end);
+    log::info!("ending: last call");
     let last_answers = Instant::now() + longest.min(LONGEST_END) + ANSWERS_LATER;
     // Accepting ends by itself then; sessions end when they are idle. The sender is held above.
     let _ = duty.subscribe().wait_for(|orders| orders.over).await;
--- a/dispatcher/tests/scenarios/command_line.rs
+++ b/dispatcher/tests/scenarios/command_line.rs
@@ -89,6 +89,16 @@
         let file = GOOD.replacen('{', &format!("{{\"workers\": {value}, "), 1);
         says(check, &file, 0, "");
     }
+    // A place among the dispatchers that there is not.
+    for (fleet, key) in [
+        (r#""balancers": 0"#, "settings.balancers"),
+        (r#""balancers": 65537"#, "settings.balancers"),
+        (r#""balancers": 3, "me": 3"#, "settings.me"),
+        (r#""me": 1"#, "settings.me"),
+    ] {
+        let file = GOOD.replacen("\"settings\": {", &format!("\"settings\": {{{fleet}, "), 1);
+        says(check, &file, 2, &format!("configuration: {key}: "));
+    }
     // Each shard needs a connection to each engine.
     let tight = GOOD.replacen('{', r#"{"workers": 30, "limits": {"sockets": 64}, "#, 1);
     says(check, &tight, 2, "configuration: workers: limits.sockets");
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -188,15 +188,18 @@
 
     /// Waits for a line of the log that holds the words; what stands behind them.
     fn logged(&mut self, words: &str) -> String {
+        let mut last = String::new();
         loop {
             let line = self
                 .runtime
                 .block_on(async { timeout(HANGS, self.log.recv()).await });
             let line = line.unwrap_or_else(|_| panic!("the log never said {words:?}"));
-            let line = line.unwrap_or_else(|| panic!("the log ended before {words:?}"));
+            let ended = || panic!("the log ended before {words:?}, with {last:?}");
+            let line = line.unwrap_or_else(ended);
             if let Some((_, rest)) = line.split_once(words) {
                 return rest.trim().to_string();
             }
+            last = line;
         }
     }
 
--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether it can't go: something is out on it, or it is being made.
+    pub fn busy(&self) -> bool {
+        self.out > 0 || !self.up
+    }
+
     pub fn ended(&mut self) {
         self.out = self.out.saturating_sub(1);
         self.used = Instant::now();
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -16,14 +16,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, interval};
+use tokio::time::{Instant, sleep_until};
 
 /// What came from connections and waits for the actor; they wait beyond it.
 const MAILBOX: usize = 1024;
 /// An idle connection is closed at this part of the time after which the engine closes it: what crosses
 /// the engine's close would look as if it may have run.
 const IDLE_PART: f64 = 0.7;
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_AFTER: Duration = Duration::from_millis(20);
 /// A page that has been asked for comes within this time, or never.
 const PAGE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -78,19 +78,10 @@
     reports: Reports,
 ) {
     let (came, mut incoming) = mpsc::channel(MAILBOX);
-    let mut actor = Actor {
-        endpoint,
-        wires,
-        reports,
-        came,
-        connections: HashMap::new(),
-        next_connection: 0,
-        out: HashMap::new(),
-        probes: HashMap::new(),
-        next_probe: 0,
-    };
-    let mut look = interval(LOOK_EVERY);
+    let mut limits = wires.connections.clone();
+    let mut actor = Actor::new(endpoint, wires, reports, came);
     loop {
+        let look = actor.looks_at();
         tokio::select! {
             message = mailbox.recv() => match message {
                 Some(message) => {
@@ -104,12 +95,57 @@
                 None => return,
             },
             Some((number, came)) = incoming.recv() => actor.came(number, came).await,
-            _ = look.tick() => actor.look().await,
+            Ok(()) = limits.changed() => actor.look().await,
+            () = sleep_until(look.unwrap_or_else(Instant::now)), if look.is_some() => actor.look().await,
         }
     }
 }
 
 impl Actor {
+    fn new(
+        endpoint: String,
+        wires: Wires,
+        reports: Reports,
+        came: mpsc::Sender<(Number, Came)>,
+    ) -> Actor {
+        Actor {
+            endpoint,
+            wires,
+            reports,
+            came,
+            connections: HashMap::new(),
+            next_connection: 0,
+            out: HashMap::new(),
+            probes: HashMap::new(),
+            next_probe: 0,
+        }
+    }
+
+    /// When something may be overdue next; never, where nothing is out and no connection is kept: a dispatcher has hundreds
+    /// of engines, and most of them rest.
+    fn looks_at(&self) -> Option<Instant> {
+        let settings = self.settings();
+        let results = self.out.values().filter_map(|out| out.result.as_ref());
+        let pages = results.map(|result| result.came + PAGE_LIMIT);
+        let limit = duration(settings.connect_timeout);
+        let probes = self.probes.values().map(|asked| *asked + limit);
+        let idle = duration(settings.idle).mul_f64(IDLE_PART);
+        let kept = self.connections.values().filter(|kept| !kept.busy());
+        let goes = kept.map(|kept| {
+            if kept.spent {
+                Instant::now()
+            } else {
+                kept.used + idle
+            }
+        });
+        // A little later, so that one look finds all that is overdue at about one time.
+        pages
+            .chain(probes)
+            .chain(goes)
+            .min()
+            .map(|first| first + LOOK_AFTER)
+    }
+
     fn settings(&self) -> Connections {
         *self.wires.connections.borrow()
     }
@@ -438,7 +474,7 @@
         let idle = duration(self.settings().idle).mul_f64(IDLE_PART);
         let (mut open, most) = (self.connections.len(), self.settings().most);
         self.connections.retain(|_, connection| {
-            let busy = connection.out > 0 || !connection.up;
+            let busy = connection.busy();
             // Fewer may be open than were: idle ones go at once.
             let goes = connection.spent || now >= connection.used + idle || open > most;
             if goes && !busy {
@@ -487,3 +523,43 @@
         self.reports.tell(Report::Probed(probe)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use sedgebeam_core::EngineId;
+    use sedgebeam_operation::Figures;
+    use tokio::sync::watch;
+
+    #[tokio::test]
+    async fn an_engine_with_nothing_out_and_no_connection_has_nobody_wake() {
+        let connections = Connections {
+            most: 2,
+            max_streams: 2,
+            connect_timeout: Micros::from_millis(250),
+            idle: Micros::from_millis(30_000),
+            max_open: 10,
+        };
+        let wires = Wires {
+            connections: watch::channel(connections).1,
+            figures: Figures::default(),
+        };
+        let (broker, _told) = mpsc::channel(4);
+        let (came, _coming) = mpsc::channel(4);
+        let reports = Reports::new(EngineId(1), broker);
+        let mut actor = Actor::new("127.0.0.1:1".to_string(), wires, reports, came);
+        assert_eq!(actor.looks_at(), None);
+        actor.probe().await;
+        let probed = actor.looks_at().expect("a probe may be overdue");
+        assert!(probed <= Instant::now() + Duration::from_millis(300));
+        actor.probes.clear();
+        assert_eq!(actor.looks_at(), None, "its connection is being made");
+        for connection in actor.connections.values_mut() {
+            connection.up = true;
+        }
+        let idle = actor.looks_at().expect("it is kept for a while");
+        assert!(idle > Instant::now() + Duration::from_secs(20));
+        actor.connections.clear();
+        assert_eq!(actor.looks_at(), None);
+    }
+}
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -14,6 +14,8 @@
 //! | credit of classes and tenants | one credit for all, to which each adds its changes |
 //! | open requests | a lease of a number, renewed at each decision ([`counts`]) |
 //!
+//! Another process of the same dispatcher, during an upgrade, counts as one more shard that never borrows.
+//!
 //! A lease that is not settled in time is void: its room goes to others, and the caller must not send what
 //! it decided. What was out of a shard that is silent counts until the last of it must have ended; of a
 //! shard that died, whose connections are closed, it counts no more. What was sent to a cold engine counts
@@ -117,7 +119,8 @@
     pub fn new(terms: Terms) -> Ledger {
         Ledger {
             terms,
-            shards: vec![Shard::default(); terms.shards],
+            // One more for the other processes of this dispatcher, which borrow nothing here.
+            shards: vec![Shard::default(); terms.shards + 1],
             engines: BTreeMap::new(),
             class_credit: Vec::new(),
             tenant_credit: Vec::new(),
@@ -133,6 +136,12 @@
         self.terms = terms;
     }
 
+    /// Hears what other processes of this dispatcher hold, all of them added up. It counts for every shard, until something
+    /// else is told or all that is out there must have ended.
+    pub fn beside(&mut self, now: Micros, told: Published) {
+        self.publish(self.terms.shards, now, told);
+    }
+
     /// How many leases were void before they were settled.
     pub fn voided(&self) -> u64 {
         self.voided
--- a/leases/tests/interleavings.rs
+++ b/leases/tests/interleavings.rs
@@ -424,3 +424,28 @@
     assert_eq!(loan.siblings.class_credit, [1.25, -1.25]);
     assert_eq!(loan.siblings.tenant_credit, [vec![], vec![1.25]]);
 }
+
+#[test]
+fn what_another_process_holds_counts_for_every_shard_until_it_must_have_ended() {
+    let mut ledger = Ledger::new(terms(2));
+    let beside = |threads, until| Published {
+        waiting: Vec::new(),
+        ..holds(threads, until)
+    };
+    ledger.beside(Micros(0), beside(8.0, Micros(900)));
+    for shard in [ShardId(0), ShardId(1)] {
+        let loan = ledger.borrow(shard, Micros(1), &wish(30.0, false), 0);
+        let told = &loan.siblings.engines[0].out;
+        assert_eq!((room(&loan), told.threads), (LIMIT - 8.0, 8.0));
+        assert_eq!(loan.siblings.classes[0].threads, 8.0);
+        assert!(told.groups.contains(&GroupId(7)));
+        let nothing = holds(0.0, Micros(0));
+        assert!(ledger.settle(shard, loan.ticket, Micros(2), nothing).stands);
+    }
+    // It tells of less, and then nothing more: it may have died without a word.
+    ledger.beside(Micros(3), beside(4.0, Micros(900)));
+    let loan = ledger.borrow(ShardId(0), Micros(4), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), LIMIT - 4.0);
+    let loan = ledger.borrow(ShardId(0), Micros(1000), &wish(30.0, false), 0);
+    assert_eq!(room(&loan), LIMIT);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -233,6 +233,11 @@
         }
     }
 
+    /// How many gateways there are, and the number of this one among them, where told.
+    pub fn fleet(&self) -> (Option<u32>, Option<u32>) {
+        (self.balancers, self.me)
+    }
+
     /// The attempts allowed, where told.
     pub fn attempts(&self) -> Option<u32> {
         self.limits.as_ref()?.max_attempts
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -142,10 +142,10 @@
     /// Thread time and time of what was answered: their ratio is the threads of a query out.
     thread_time: Mean,
     time: Mean,
-    keys: BTreeMap<Key, KeyLine>,
+    pub(crate) keys: BTreeMap<Key, KeyLine>,
     /// Requests taken and further attempts made within the attempt budget's window.
-    taken: Recent,
-    extra: Recent,
+    pub(crate) taken: Recent,
+    pub(crate) extra: Recent,
     follow_at: Option<Micros>,
     timer_set: bool,
     /// Taken in this call.
--- a/src/state.rs
+++ b/src/state.rs
@@ -225,6 +225,10 @@
 pub(crate) struct Recent(VecDeque<Micros>);
 
 impl Recent {
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     pub fn add(&mut self, now: Micros, window: Micros) {
         self.0.retain(|at| *at + window > now);
         self.0.push_back(now);
