--- a/leases/tests/interleavings.rs
+++ b/leases/tests/interleavings.rs
@@ -439,7 +439,7 @@
         assert_eq!((room(&loan), told.threads), (LIMIT - 8.0, 8.0));
         assert_eq!(loan.siblings.classes[0].threads, 8.0);
         assert!(told.groups.contains(&GroupId(7)));
-        let nothing = holds(0.0, Micros(0));
+        let nothing = beside(0.0, Micros(0));
         assert!(ledger.settle(shard, loan.ticket, Micros(2), nothing).stands);
     }
     // It tells of less, and then nothing more: it may have died without a word.
