Say once that an attempt has left its connection, and walk no engines where no room is

Found on rereading: the same look-up stood three times in the engine's actor; choose() walked all engines also where nothing could be sent; the virtual world had a time-out beside the failures that say the same, and times of cuts that nothing read.

--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -209,13 +209,18 @@
         attempt.timeout = attempt.timeout.saturating_sub(waited);
         if !self.command(connection, Command::Fetch(attempt)) {
             self.out.remove(&id);
-            if let Some(connection) = self.connections.get_mut(&connection) {
-                connection.ended();
-            }
+            self.ended_on(connection);
             self.never(id, number).await;
         }
     }
 
+    /// An attempt is on this connection no longer.
+    fn ended_on(&mut self, connection: Number) {
+        if let Some(connection) = self.connections.get_mut(&connection) {
+            connection.ended();
+        }
+    }
+
     /// An attempt was not written to any connection.
     async fn never(&self, id: RequestId, number: AttemptNo) {
         self.reports.ended(id, number, End::ConnectFailed).await;
@@ -266,9 +271,7 @@
             return;
         }
         if out.waiting.is_some() {
-            if let Some(connection) = self.connections.get_mut(&out.connection) {
-                connection.ended();
-            }
+            self.ended_on(out.connection);
             return;
         }
         // Of a result that is on its way no more is wanted; all else is called off.
@@ -460,9 +463,7 @@
         let waiting = self.out.extract_if(|_, out| out.waiting.is_some());
         let waiting: Vec<(RequestId, Out)> = waiting.collect();
         for (_, out) in &waiting {
-            if let Some(connection) = self.connections.get_mut(&out.connection) {
-                connection.ended();
-            }
+            self.ended_on(out.connection);
         }
         for (id, out) in waiting {
             self.never(id, out.number).await;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -476,10 +476,14 @@
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let group = request.query.group;
+        let room = self.fleet_room(request);
+        if !room && !self.by_rights() {
+            return None;
+        }
         let mut eligible = self.eligible(request);
         // A right on a cold engine is room of its own, there alone.
-        if !self.fleet_room(request) {
-            eligible.retain(|engine| self.by_rights() && self.is_cold(engine, self.now));
+        if !room {
+            eligible.retain(|engine| self.is_cold(engine, self.now));
         }
         // Behind a load of its own group a query would hold memory and threads and stand still; loads
         // leave most engines free of their group for the queries that would wait.
--- a/virtual/src/world.rs
+++ b/virtual/src/world.rs
@@ -70,7 +70,6 @@
 
 enum Due {
     Tell(usize, u32, Box<Event>),
-    TimeOut(RequestId, u32),
     Fails(RequestId, u32, Outcome),
     Overdue(RequestId),
     Fault(Fault),
@@ -98,7 +97,8 @@
     count: u64,
     next_engine: u64,
     traffic: f64,
-    cut: Vec<(usize, Micros)>,
+    /// Zones that are cut off.
+    cut: Vec<usize>,
     weights: Vec<f64>,
     chance: ChaCha8Rng,
     make: Make,
@@ -252,7 +252,6 @@
                     node.hears(self.now, *event);
                 }
             }
-            Due::TimeOut(id, number) => self.ends(id, number, Outcome::TimedOut),
             Due::Fails(id, number, how) => self.ends(id, number, how),
             Due::Overdue(id) => {
                 if let Some(asked) = self.open.remove(&id) {
@@ -269,7 +268,7 @@
                 let life = self.nodes[gateway].life + 1;
                 self.nodes[gateway] = self.new_node(gateway as u32, life);
             }
-            Due::Joined(zone) => self.cut.retain(|(cut, _)| *cut != zone),
+            Due::Joined(zone) => self.cut.retain(|cut| *cut != zone),
         }
     }
 
@@ -337,7 +336,7 @@
 
     fn is_cut(&self, one: usize, other: usize) -> bool {
         let apart = |zone: usize| (one == zone) != (other == zone);
-        self.cut.iter().any(|(zone, _)| apart(*zone))
+        self.cut.iter().any(|zone| apart(*zone))
     }
 
     fn leaves_engine(&mut self, id: RequestId, asked: &Asked) {
@@ -637,13 +636,13 @@
             }
             engine.takes(now, id, running, knew);
         }
-        self.later(now + timeout, Due::TimeOut(id, number));
+        self.later(now + timeout, Due::Fails(id, number, Outcome::TimedOut));
     }
 
     // ---- Faults ----
 
     /// A part of the engines that are listed and take work.
-    fn some_engines(&mut self, part: f64) -> Vec<u64> {
+    fn some_engines(&self, part: f64) -> Vec<u64> {
         let serving = self
             .engines
             .values()
@@ -694,7 +693,7 @@
             }
             Fault::ZoneCut { zone, lasts } => {
                 let until = self.now + lasts;
-                self.cut.push((zone, until));
+                self.cut.push(zone);
                 for node in self.nodes.iter_mut().filter(|node| node.zone == zone) {
                     node.told_until = node.told_until.max(until);
                 }
