--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -20,7 +20,7 @@
 use sedgebeam_port::clock::{Clock, duration, span};
 use sedgebeam_port::{
     Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
-    NewRequest, Page, Probe, Report, Reports, SessionKey, Target, ToBroker, ToEngine,
+    NewRequest, Page, Probe, Report, Reports, Target, ToBroker, ToEngine,
 };
 use sedgebeam_retune::Tuning;
 use sedgebeam_settings::{Names, micros};
@@ -65,7 +65,6 @@
     clock: Clock,
     own: BrokerBox,
     open: HashMap<RequestId, Open>,
-    sessions: HashMap<SessionKey, RequestId>,
     engines: BTreeMap<EngineId, Known>,
     /// Engines that the administration has drained, whatever the list says.
     drained: BTreeSet<String>,
@@ -115,7 +114,6 @@
         clock: setup.clock,
         own: own.clone(),
         open: HashMap::new(),
-        sessions: HashMap::new(),
         engines: BTreeMap::new(),
         drained: BTreeSet::new(),
         counters: Tally::default(),
@@ -302,7 +300,8 @@
                 request,
                 engine,
                 timeout,
-            } => self.send(request, engine, timeout, now),
+                starts_by,
+            } => self.send(request, engine, timeout, starts_by, now),
             Action::Cancel { request, attempt } => self.call_off(request, attempt, now),
             Action::Refuse {
                 request,
@@ -329,11 +328,6 @@
         match message {
             ToBroker::Submit(request, reply) => self.submit(request, reply),
             ToBroker::ClientLeft(id) => self.client_left(id, Failure::Cancelled),
-            ToBroker::Cancel(session) => {
-                if let Some(id) = self.sessions.get(&session).copied() {
-                    self.client_left(id, Failure::Cancelled);
-                }
-            }
             ToBroker::Engine(engine, Report::Ended(id, number, end)) => {
                 self.ended(engine, id, number, end);
             }
@@ -405,6 +399,10 @@
             retry_after: duration(self.settings.max_retry_after),
         };
         // An answer that nobody waits for any more is no loss.
+        if request.cancelled.is_cancelled() {
+            let _ = reply.send(Answer::Failed(Failure::Cancelled));
+            return;
+        }
         if self.open.contains_key(&request.id) {
             let _ = reply.send(Answer::Failed(Failure::Duplicate));
             return;
@@ -442,9 +440,6 @@
         }));
         let slack = duration(self.settings.answer_slack);
         self.at(request.deadline + slack, Due::Answer(id));
-        if let Some(session) = request.session {
-            self.sessions.insert(session, id);
-        }
         self.open.insert(id, Open::new(request, tenant, reply));
     }
 
@@ -464,9 +459,6 @@
         self.counters.answered(class, tenant, &answer);
         // The client may have gone in this moment; then its result is dropped, and so let go.
         let _ = reply.send(answer);
-        if let Some(session) = open.session {
-            self.sessions.remove(&session);
-        }
         self.settle(id);
     }
 
@@ -510,7 +502,22 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, to: EngineId, timeout: Micros, now: Instant) {
+    fn send(
+        &mut self,
+        id: RequestId,
+        to: EngineId,
+        timeout: Micros,
+        starts_by: Option<Micros>,
+        now: Instant,
+    ) {
+        // Its client has gone, and the word of that waits behind other messages.
+        if self
+            .open
+            .get(&id)
+            .is_some_and(|open| open.cancelled.is_cancelled())
+        {
+            self.client_left(id, Failure::Cancelled);
+        }
         let Some(open) = self.open.get_mut(&id) else {
             log::error!("a send for request {:016x}, which is not open", id.0);
             return;
@@ -541,8 +548,12 @@
             timeout,
             rank: open.rank,
             statement: open.statement.clone(),
+            cancelled: open.cancelled.child_token(),
+            starts_by: starts_by.map_or(now + timeout, |by| {
+                self.clock.instant(by).min(now + timeout)
+            }),
         };
-        let mailbox = known.mailbox.clone();
+        let (mailbox, cancelled) = (known.mailbox.clone(), attempt.cancelled.clone());
         if mailbox.try_send(ToEngine::Send(attempt)).is_err() {
             return self.not_sent(id, to, Outcome::ConnectFailed, now);
         }
@@ -550,6 +561,7 @@
             engine: to,
             mailbox,
             sent: now,
+            cancelled,
         }));
         self.at(now + timeout, Due::Attempt(id, number));
     }
@@ -579,13 +591,12 @@
         self.settle(id);
     }
 
-    /// Takes an attempt back, if it is out.
+    /// Takes an attempt back, if it is out; what is still unwritten of it stays so.
     fn take_back(&mut self, id: RequestId, number: AttemptNo) -> Option<Out> {
-        self.open
-            .get_mut(&id)?
-            .attempts
-            .get_mut(number.0 as usize)?
-            .take()
+        let open = self.open.get_mut(&id)?;
+        let out = open.attempts.get_mut(number.0 as usize)?.take()?;
+        out.cancelled.cancel();
+        Some(out)
     }
 
     fn call_off(&mut self, id: RequestId, number: AttemptNo, now: Instant) {
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -2,15 +2,18 @@
 
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, ClassId, EngineId, TenantId};
-use sedgebeam_port::{Answer, EngineBox, NewRequest, SessionKey};
+use sedgebeam_port::{Answer, EngineBox, NewRequest};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// An attempt that is out.
 pub struct Out {
     pub engine: EngineId,
     pub mailbox: EngineBox,
     pub sent: Instant,
+    /// Cancelled once it is over: what of it is unwritten must stay so.
+    pub cancelled: CancellationToken,
 }
 
 /// A request from its start until it is over and nothing of it is out.
@@ -21,7 +24,8 @@
     pub tenant: Option<TenantId>,
     pub deadline: Instant,
     pub statement: Bytes,
-    pub session: Option<SessionKey>,
+    /// Cancelled once its client has gone or called it off.
+    pub cancelled: CancellationToken,
     pub rank: u8,
     /// By number; `None` once it has had its outcome.
     pub attempts: Vec<Option<Out>>,
@@ -39,7 +43,7 @@
             tenant,
             deadline: request.deadline,
             statement: request.statement,
-            session: request.session,
+            cancelled: request.cancelled,
             // The priority of what has none set.
             rank: 1,
             attempts: Vec::new(),
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use sedgebeam_core::{ClassId, GroupId};
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 const ID: RequestId = RequestId(7);
 const ENGINE: EngineId = EngineId(1);
@@ -73,7 +74,8 @@
         memory_mb: 0.0,
         group: GroupId(0),
         statement: Bytes::from_static(b"INSERT"),
-        session: Some(SessionKey(3)),
+        session: None,
+        cancelled: CancellationToken::new(),
     }
 }
 
@@ -91,7 +93,8 @@
 
 impl Bench {
     fn send(&mut self) {
-        self.broker.send(ID, ENGINE, Micros(0), Instant::now());
+        self.broker
+            .send(ID, ENGINE, Micros(0), None, Instant::now());
     }
 
     fn end(&mut self, end: End) {
@@ -216,6 +219,7 @@
             ID,
             ENGINE,
             Micros(0),
+            None,
             Instant::now() + Duration::from_secs(10),
         );
         assert_eq!(late.outcomes(), [(0, Outcome::Moot, false)]);
@@ -248,7 +252,7 @@
     inside(|| {
         let mut bench = bench();
         bench.send();
-        bench.broker.take(ToBroker::Cancel(SessionKey(3)));
+        bench.broker.take(ToBroker::ClientLeft(ID));
         bench.broker.take(ToBroker::ClientLeft(ID));
         let left = bench
             .broker
@@ -311,7 +315,7 @@
         // A time-out is cut to the client's deadline, and the engine is told as much.
         bench
             .broker
-            .send(ID, ENGINE, Micros::from_millis(60_000), now);
+            .send(ID, ENGINE, Micros::from_millis(60_000), None, now);
         let Ok(ToEngine::Send(attempt)) = bench.sent.try_recv() else {
             panic!("no send")
         };
@@ -350,3 +354,52 @@
         assert_eq!(broker.identify("s-00000001"), EngineId(2));
     });
 }
+
+/// The word that a client has gone waits behind thousands of others; what the gateway decides meanwhile is not sent.
+#[test]
+fn nothing_is_sent_for_a_client_that_has_gone_though_its_word_is_still_to_come() {
+    inside(|| {
+        let mut bench = bench();
+        bench.asked();
+        bench.broker.open[&ID].cancelled.cancel();
+        bench.send();
+        assert!(bench.asked().is_empty());
+        assert_eq!(bench.outcomes(), [(0, Outcome::Moot, true)]);
+        let answer = bench.answer.try_recv().expect("an answer");
+        assert!(matches!(answer, Answer::Failed(Failure::Cancelled)));
+        bench.broker.take(ToBroker::ClientLeft(ID));
+        assert!(bench.broker.events.is_empty(), "it is told of once");
+        // One that has gone before the broker takes it is not opened at all.
+        let (reply, _answer) = oneshot::channel();
+        let gone = NewRequest {
+            id: RequestId(8),
+            ..request()
+        };
+        gone.cancelled.cancel();
+        bench.broker.submit(gone, reply);
+        assert!(bench.broker.events.is_empty() && !bench.broker.open.contains_key(&RequestId(8)));
+    });
+}
+
+/// An attempt that is over in any way must not be written any more, wherever it waits.
+#[test]
+fn what_is_over_is_called_off_where_it_waits_to_be_written() {
+    let ends: [fn(&mut Bench); 4] = [
+        |bench| bench.broker.call_off(ID, FIRST, Instant::now()),
+        |bench| bench.broker.timed_out(ID, FIRST, Instant::now()),
+        |bench| bench.end(End::Reset),
+        |bench| bench.broker.open[&ID].cancelled.cancel(),
+    ];
+    for end in ends {
+        inside(|| {
+            let mut bench = bench();
+            bench.send();
+            let Ok(ToEngine::Send(attempt)) = bench.sent.try_recv() else {
+                panic!("no attempt")
+            };
+            assert!(!attempt.is_void());
+            end(&mut bench);
+            assert!(attempt.is_void());
+        });
+    }
+}
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults.
 
+use crate::descriptors::Descriptors;
 use crate::roster::{self, Change};
 use miniserde::json::{Number, Value};
 use miniserde::{Deserialize, json};
@@ -10,8 +11,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-/// The share of the descriptors that sessions may hold: the platform's clients hold a third.
-const SESSIONS_PART: f64 = 0.55;
 /// The share of the memory that messages may fill which come to all sessions at once, and its bounds for one.
 const MESSAGES_PART: f64 = 0.25;
 const SHORTEST_MESSAGE: usize = 16 * 1024;
@@ -21,8 +20,6 @@
 const SOCKETS: u64 = 1024;
 /// Requests that may be open at once for each megabyte.
 const OPEN_PER_MB: f64 = 64.0;
-/// The share of the descriptors that connections to engines may hold; sessions have their own.
-const ENGINES_PART: f64 = 0.35;
 /// Engines that may come on top of those that are known.
 const NEW_ENGINES: usize = 2;
 /// More workers than this are no use to a dispatcher, whose shards share every engine.
@@ -50,8 +47,8 @@
     pub changelog: Option<SocketAddr>,
     pub known: Known,
     pub seed: u64,
-    /// Sessions of the PostgreSQL protocol at once.
-    pub sessions: usize,
+    /// What the process's descriptors are for.
+    pub descriptors: Descriptors,
     /// The longest message that one of them may send.
     pub message: usize,
     pub settings: Settings,
@@ -429,28 +426,36 @@
     let limits = platform.limits.or(fallback.limits).unwrap_or_default();
     let sockets = limits.sockets.unwrap_or(SOCKETS).max(64) as usize;
     let memory_mb = limits.memory_mb.unwrap_or(MEMORY_MB).max(16.0);
-    let sessions = (sockets as f64 * SESSIONS_PART) as usize;
     let known = known(platform.known.or(fallback.known), own.engines)?;
     let mut connections = facts.connections();
     connections.max_open = connections.max_open.min((memory_mb * OPEN_PER_MB) as usize);
-    let to_engine = engine_connections(sockets, roster::fold(known.changes.clone()).len());
     let workers = workers(own.workers.as_ref())?;
     let shards = shards(own.shards, workers)?;
+    let flight = listener("flight.listen", own.flight)?;
+    let admin = listener("admin.listen", own.admin)?;
+    let descriptors = Descriptors::of(sockets, workers, flight.is_some(), admin.is_some());
+    let descriptors = descriptors.ok_or_else(|| {
+        let why = format!("limits.sockets has too few descriptors for {workers}");
+        wrong("workers", why)
+    })?;
+    let engines = roster::fold(known.changes.clone()).len();
+    let to_engine = engine_connections(descriptors.engines, engines);
+    connections.in_all = descriptors.engines;
     connections.most = divided(to_engine, shards)?;
     let name = environment.name.clone().or(platform.name).or(fallback.name);
     let seeded = platform.seed.or(fallback.seed);
     Ok(Config {
         name: name.unwrap_or_else(|| "sedgebeam".to_string()),
         listen: address("listen", listen.as_deref())?.ok_or_else(|| wrong("listen", "missing"))?,
-        flight: listener("flight.listen", own.flight)?,
-        admin: listener("admin.listen", own.admin)?,
+        flight,
+        admin,
         control: address("control", control.as_deref())?,
         passed: passed(environment.passed.as_deref())?,
         changelog: address("changelog", changelog.as_deref())?,
         known,
         seed: seed(seeded.as_deref())?,
-        sessions,
-        message: message(memory_mb, sessions),
+        message: message(memory_mb, descriptors.sessions),
+        descriptors,
         settings: settings(&facts)?,
         names: facts.names(),
         connections,
@@ -514,9 +519,10 @@
     (part as usize).clamp(SHORTEST_MESSAGE, LONGEST_MESSAGE)
 }
 
-/// Connections to one engine: its part of what descriptors engines may hold, with room for new engines.
-fn engine_connections(sockets: usize, engines: usize) -> usize {
-    let part = (sockets as f64 * ENGINES_PART) as usize / (engines + NEW_ENGINES);
+/// Connections to one engine: its part of the descriptors that engines may hold, with room for new engines. All of them
+/// together are bounded by those.
+fn engine_connections(descriptors: usize, engines: usize) -> usize {
+    let part = descriptors / (engines + NEW_ENGINES);
     part.clamp(FEWEST_CONNECTIONS, MOST_CONNECTIONS)
 }
 
@@ -532,14 +538,13 @@
     #[test]
     fn buffers_and_connections_fit_the_limits_stated() {
         for (memory_mb, sockets, engines) in [(32.0, 256, 5), (192.0, 1024, 10), (16.0, 64, 30)] {
-            let sessions = (sockets as f64 * SESSIONS_PART) as usize;
-            let filled = message(memory_mb, sessions) * sessions;
+            let descriptors = Descriptors::of(sockets, 1, false, false).expect("enough");
+            let filled = message(memory_mb, descriptors.sessions) * descriptors.sessions;
             assert!(
                 filled as f64 <= memory_mb * 1024.0 * 1024.0 / 2.0,
                 "{filled}"
             );
-            let held = engine_connections(sockets, engines) * engines + sessions;
-            assert!(held < sockets || sockets == 64, "{held} of {sockets}");
+            assert!(engine_connections(descriptors.engines, engines) <= descriptors.engines);
         }
     }
 
--- a/dispatcher/src/door.rs
+++ b/dispatcher/src/door.rs
@@ -18,8 +18,6 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-/// Callers at once; beyond it whoever has been here for longest without a whole line gives way.
-const MOST_CALLERS: usize = 32;
 /// A caller has so long for its line and for taking its answer.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 /// What a caller still says when it has its answer is read for so long, and so much of it: closing on bytes
@@ -35,6 +33,8 @@
     pub duty: Duty,
     pub figures: Figures,
     pub clock: Clock,
+    /// Callers at once; beyond it whoever has been here for longest without a whole line gives way.
+    pub callers: usize,
 }
 
 /// Opens the door, on a thread of its own.
@@ -62,14 +62,16 @@
     let listener = TcpListener::from_std(listener)?;
     let mut callers = FuturesUnordered::new();
     let mut waiting: VecDeque<CancellationToken> = VecDeque::new();
+    let most = desk.callers;
     loop {
         tokio::select! {
             biased;
             Some(()) = callers.next() => {}
-            accepted = listener.accept() => match accepted {
+            // Those who take their answer are soon gone; more than these wait to be accepted.
+            accepted = listener.accept(), if callers.len() < most || !waiting.is_empty() => match accepted {
                 Ok((stream, _)) => {
                     waiting.retain(|caller| !caller.is_cancelled());
-                    if waiting.len() >= MOST_CALLERS && let Some(longest) = waiting.pop_front() {
+                    if callers.len() >= most && let Some(longest) = waiting.pop_front() {
                         longest.cancel();
                     }
                     let place = CancellationToken::new();
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod beside;
 pub mod config;
 pub mod crew;
+pub mod descriptors;
 pub mod door;
 pub mod duty;
 pub mod import;
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::roster::{self, Reached};
 use futures::StreamExt;
 use futures::future::BoxFuture;
-use sedgebeam_engines::Wires;
+use sedgebeam_engines::{Slots, Wires};
 use sedgebeam_fronts::leave::Staying;
 use sedgebeam_fronts::places::Places;
 use sedgebeam_fronts::{Shared, flight, incoming, pg};
@@ -39,12 +39,8 @@
 const CATCH_UP: Duration = Duration::from_secs(2);
 /// A process takes at least this part of the sessions of one dispatcher, whatever another has.
 const LEAST_PART: usize = 8;
-/// Connections that are being turned away at once: sessions have their descriptors, and these have a few of their own.
-const LEAVING: usize = 16;
 /// Time between two tries for an address that another process has.
 const BIND_AGAIN: Duration = Duration::from_millis(100);
-/// Flight SQL clients at once.
-const FLIGHT_CONNECTIONS: usize = 96;
 /// Calls that one Flight SQL client may have under way.
 const FLIGHT_CALLS: usize = 128;
 /// A Flight SQL client that answers no ping for as long again has gone.
@@ -112,6 +108,7 @@
     let world = Wires {
         connections: heeded,
         figures: figures.clone(),
+        slots: Slots::default(),
     };
     let crew = Arc::new(Crew::start(&config, Arc::new(world), &figures, clock).await?);
     let desk = crew.desk.clone();
@@ -154,14 +151,14 @@
         alive,
         config,
     };
-    let places = Places::new(program.config.sessions);
+    let places = Places::new(program.config.descriptors.sessions);
     let alone = Others {
         parts: 1,
         sessions: 0,
     };
     let (left, others) = watch::channel(alone);
     let limits = Limits {
-        sessions: program.config.sessions,
+        sessions: program.config.descriptors.sessions,
         places: places.clone(),
         whole: told,
         divided,
@@ -222,6 +219,7 @@
         duty: duty.clone(),
         figures: figures.clone(),
         clock,
+        callers: config.descriptors.callers,
     };
     let address = door::open(address, desk)?;
     log::info!("{} takes calls of operators on {address}", config.name);
@@ -265,6 +263,7 @@
             let (whole, beside) = (*self.whole.borrow_and_update(), *others.borrow_and_update());
             self.divided.send_replace(Connections {
                 most: (whole.most / beside.parts).max(1),
+                in_all: (whole.in_all / beside.parts).max(1),
                 ..whole
             });
             let left = self.sessions.saturating_sub(beside.sessions);
@@ -310,7 +309,7 @@
                 self.config.seed,
             );
             let (crew, end, alive) = (self.crew.clone(), self.end.clone(), self.alive.downgrade());
-            let name = self.config.name.clone();
+            let (name, most) = (self.config.name.clone(), self.config.descriptors.flight);
             comings.push(Box::pin(async move {
                 let listener = bind(address, patient).await?;
                 log::info!(
@@ -319,7 +318,7 @@
                 );
                 // Without a session left the program is ending.
                 if let Some(alive) = alive.upgrade() {
-                    serve_flight(listener, &crew, &front, &end, &alive);
+                    serve_flight(listener, &crew, &front, &end, &alive, most);
                 }
                 Ok(())
             }));
@@ -362,11 +361,11 @@
             shared: Shared {
                 desk: self.crew.desk.clone(),
             },
+            leaving: Arc::new(Semaphore::new(config.descriptors.farewells)),
+            message: config.message,
             staying: self.duty.staying(),
             alive: self.alive.clone(),
             places,
-            leaving: Arc::new(Semaphore::new(LEAVING)),
-            message: config.message,
             // Two processes of one dispatcher may have one seed, and a client's cancel may come to either.
             next: sedgebeam_core::mix(config.seed ^ sedgebeam_core::mix(began.0)),
         };
@@ -404,8 +403,9 @@
     front: &flight::Front,
     end: &watch::Sender<bool>,
     alive: &mpsc::Sender<()>,
+    most: usize,
 ) {
-    let accepted = incoming::accepted(listener, FLIGHT_CONNECTIONS);
+    let accepted = incoming::accepted(listener, most);
     if !crew.is_several() {
         let alive = alive.clone();
         let serving = flight_server(incoming::placed(accepted), front.clone(), end.subscribe());
@@ -417,7 +417,7 @@
     }
     let mut workers = Vec::new();
     for worker in crew.workers() {
-        let (hand_over, taken) = mpsc::channel(FLIGHT_CONNECTIONS);
+        let (hand_over, taken) = mpsc::channel(most);
         let taken = incoming::taken_over(taken);
         let (serving, alive) = (
             flight_server(taken, front.clone(), end.subscribe()),
@@ -472,12 +472,12 @@
 struct Sessions {
     crew: Arc<Crew>,
     shared: Shared,
-    staying: Staying,
-    alive: mpsc::Sender<()>,
-    places: Places,
     /// Connections that are being turned away.
     leaving: Arc<Semaphore>,
     message: usize,
+    staying: Staying,
+    alive: mpsc::Sender<()>,
+    places: Places,
     next: u64,
 }
 
@@ -542,10 +542,10 @@
         }
         self.next = self.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let (shared, key) = (self.shared.clone(), SessionKey(self.next));
+        let message = self.message;
         let leave = self
             .staying
             .newcomer(sedgebeam_core::mix(key.0) as f64 / u64::MAX as f64);
-        let message = self.message;
         let alive = self.alive.clone();
         let (several, (_, worker)) = (self.crew.is_several(), self.crew.place());
         let counted = worker.count();
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -4,20 +4,29 @@
 use crate::stage::{Peer, peer};
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
-use sedgebeam_engines::Wires;
+use sedgebeam_engines::{Slots, Wires};
 use sedgebeam_operation::Figures;
 use sedgebeam_port::{
     Attempt, End, EngineBox, Engines, Page, Probe, Report, Reports, Target, ToBroker, ToEngine,
 };
 use sedgebeam_settings::Connections;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Longer than any test lasts.
+const LONG: Duration = Duration::from_secs(600);
 
 struct Bench {
     engine: Peer,
     actor: EngineBox,
     reports: mpsc::Receiver<ToBroker>,
+    /// Of the next attempt: whether it is given up, and by when it has to begin.
+    cancelled: CancellationToken,
+    starts_by: Instant,
 }
 
 async fn bench() -> Bench {
@@ -30,8 +39,14 @@
 
 /// An actor before the engine at this endpoint, with so many connections at the most.
 fn before(engine: Peer, endpoint: String, most: usize) -> Bench {
+    among(engine, endpoint, most, 64, Slots::default())
+}
+
+/// The same where so many are left to all engines together.
+fn among(engine: Peer, endpoint: String, most: usize, in_all: usize, slots: Slots) -> Bench {
     let connections = Connections {
         most,
+        in_all,
         max_streams: 2,
         connect_timeout: Micros::from_millis(5000),
         idle: Micros::from_millis(30_000),
@@ -46,12 +61,15 @@
     let wires = Wires {
         connections: watch::channel(connections).1,
         figures: Figures::default(),
+        slots,
     };
     let actor = wires.start(&target, Reports::new(EngineId(1), broker));
     Bench {
         engine,
         actor,
         reports,
+        cancelled: CancellationToken::new(),
+        starts_by: Instant::now() + LONG,
     }
 }
 
@@ -61,17 +79,30 @@
     }
 
     async fn send(&self, id: u64, number: u32) {
+        self.send_statement(id, number, "SELECT".into()).await;
+    }
+
+    async fn send_statement(&self, id: u64, number: u32, statement: Bytes) {
         let attempt = Attempt {
             request: RequestId(id),
             number: AttemptNo(number),
             class: "lookup".into(),
             timeout: Duration::from_secs(9),
             rank: 1,
-            statement: "SELECT".into(),
+            statement,
+            cancelled: self.cancelled.child_token(),
+            starts_by: self.starts_by,
         };
         self.ask(ToEngine::Send(attempt)).await;
     }
 
+    /// Waits until the actor has heard all that it was asked.
+    async fn has_heard(&self) {
+        while self.actor.capacity() < self.actor.max_capacity() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     async fn hears(&mut self, words: &str) {
         let heard = self.engine.heard.recv().await.expect("words");
         assert!(heard.starts_with(words), "{words}: but heard {heard:?}");
@@ -283,9 +314,7 @@
         bench.send(2, 0).await;
         bench.ask(ToEngine::Abort(RequestId(1), AttemptNo(0))).await;
         // The actor has heard all of it before the table has room.
-        while bench.actor.capacity() < bench.actor.max_capacity() {
-            tokio::task::yield_now().await;
-        }
+        bench.has_heard().await;
         drop(first);
         tokio::spawn(engines::resp(listener, role));
         bench.hears("fetch 2").await;
@@ -296,3 +325,109 @@
         ));
     });
 }
+
+/// What waits behind a write that the engine does not take must not go out once it may not begin any more: it was given
+/// up, its client has gone, its engine drains, or its time is over.
+#[test]
+fn what_may_not_begin_any_more_is_not_written_when_its_engine_reads_again() {
+    for how in ["abort 2", "gone", "drains", "late"] {
+        inside(|| async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let endpoint = listener.local_addr().expect("an address").to_string();
+            let mut bench = before(peer().0, endpoint, 1);
+            // More than the buffers between the two hold.
+            bench
+                .send_statement(1, 0, vec![b'x'; 32 << 20].into())
+                .await;
+            let (mut engine, _) = listener.accept().await.expect("accepts");
+            engine.readable().await.expect("it is being written");
+            bench.cancelled = CancellationToken::new();
+            if how == "late" {
+                bench.starts_by = Instant::now();
+            }
+            bench.send(2, 0).await;
+            bench.has_heard().await;
+            let number = AttemptNo(0);
+            match how {
+                "abort 2" => bench.ask(ToEngine::Abort(RequestId(2), number)).await,
+                "gone" => bench.cancelled.cancel(),
+                "drains" => bench.ask(ToEngine::NothingNew).await,
+                _ => {}
+            }
+            // Something behind it, to know when it would have come.
+            bench.ask(ToEngine::Renice(RequestId(1), number, 3)).await;
+            bench.has_heard().await;
+            let (mut came, mut part) = (Vec::new(), vec![0; 1 << 20]);
+            let told = |came: &[u8], word: &str| {
+                let last = &came[came.len().saturating_sub(1 << 10)..];
+                String::from_utf8_lossy(last).contains(word)
+            };
+            while !told(&came, "renice") {
+                let count = engine.read(&mut part).await.expect("reads");
+                assert!(count > 0, "{how}: the connection ended");
+                came.extend(&part[..count]);
+            }
+            assert!(
+                !told(&came, "fetch\r\n$16\r\n0000000000000002"),
+                "{how}: it was written"
+            );
+            if how != "abort 2" {
+                bench.ends(2, End::Void).await;
+            }
+        });
+    }
+}
+
+/// Connections to all engines together are bounded, whatever each may have; an idle one goes for another's sake, and
+/// that there was no room is no fault of an engine.
+#[test]
+fn an_idle_connection_gives_its_slot_to_another_engine() {
+    inside(|| async {
+        let slots = Slots::default();
+        let mut benches = Vec::new();
+        for _ in 0..2 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let endpoint = listener.local_addr().expect("an address").to_string();
+            let (engine, role) = peer();
+            tokio::spawn(engines::resp(listener, role));
+            benches.push(among(engine, endpoint, 3, 1, slots.clone()));
+        }
+        let [first, second] = &mut benches[..] else {
+            panic!("two")
+        };
+        first.send(1, 0).await;
+        first.hears("fetch 1").await;
+        second.send(2, 0).await;
+        second.ends(2, End::Void).await;
+        first.says("1 BUSY");
+        first.ends(1, End::Busy).await;
+        // It is idle now: what was refused its place wants it, and then has it.
+        let mut id = 3;
+        loop {
+            second.send(id, 0).await;
+            tokio::select! {
+                heard = second.engine.heard.recv() => {
+                    assert!(heard.expect("words").starts_with(&format!("fetch {id}")));
+                    return;
+                }
+                report = second.reports.recv() => {
+                    let void = Report::Ended(RequestId(id), AttemptNo(0), End::Void);
+                    assert_eq!(format!("{report:?}"), format!("{:?}", Some(ToBroker::Engine(EngineId(1), void))));
+                }
+            }
+            id += 1;
+        }
+    });
+}
+
+#[test]
+fn a_flight_engine_is_not_asked_for_what_may_not_begin_when_its_connection_is_up() {
+    inside(|| async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut bench = before(peer().0, format!("grpc://{address}"), 1);
+        bench.starts_by = Instant::now();
+        bench.send(1, 0).await;
+        bench.ends(1, End::Void).await;
+    });
+}
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -62,6 +62,9 @@
     config: String,
 }
 
+/// Descriptors of the program.
+pub const SOCKETS: usize = 128;
+
 pub const SETTINGS: &str = r#"{"balancers": 1, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
   "domain": {"class_load": [false, false, true], "class_waits": [true, true, false], "priorities": true,
     "threads_by_class": [1, 4, 2], "size_cores": [12], "size_mb": [24576.0], "tells_cost": true},
@@ -137,7 +140,7 @@
             targets.join(",")
         );
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","control":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":64}},
+            r#"{{"name":"n0","listen":"127.0.0.1:0","control":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":{SOCKETS}}},
                "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}"#
         );
         let own = format!(
@@ -146,7 +149,10 @@
         write_config(&folder, &config, changelog.as_deref());
         std::fs::write(folder.join("own.json"), own).expect("writes");
         let _inside = runtime.enter();
-        let mut app = Command::new(env!("CARGO_BIN_EXE_sedgebeam"))
+        // It gets no more descriptors than it is told of.
+        let limited = format!("ulimit -n {SOCKETS} && exec \"$0\" \"$@\"");
+        let mut app = Command::new("sh")
+            .args(["-c", &limited, env!("CARGO_BIN_EXE_sedgebeam")])
             .args(["serve", "--config"])
             .arg(folder.join("own.json"))
             .env("PROXY_CONFIG", folder.join("config.json"))
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -1,6 +1,6 @@
 //! What only one wire has: starts, cancels, what is malformed.
 
-use crate::stage::Stage;
+use crate::stage::{SOCKETS, Stage};
 
 #[test]
 fn an_empty_query_is_answered_at_the_start_of_a_session() {
@@ -52,7 +52,7 @@
     );
 }
 
-/// More than the sessions that the stage's 64 descriptors allow.
+/// More than the sessions that the stage's descriptors allow.
 const CROWD: usize = 36;
 
 #[test]
@@ -170,3 +170,33 @@
         ));
     }
 }
+
+/// Whatever idle clients, callers and strangers fill, the change log, the door, the engines and the files keep theirs.
+#[test]
+fn idle_clients_of_every_kind_leave_descriptors_for_all_else() {
+    let mut stage = Stage::new(&["e1", "e2", "log", "log2"]);
+    stage.play("log expect asked 1");
+    for number in 1..=SOCKETS {
+        stage.play(&format!(
+            "to{number} send 50\ntf{number} send 50\nta{number} send 47"
+        ));
+    }
+    for number in 1..=CROWD {
+        stage.play(&format!("c{number} send empty\nc{number} expect empty"));
+    }
+    // Discovery is away, and back at another address; the file is read, the door answers, an engine is asked.
+    stage.play(
+        "log close
+         app send reload log2
+         log2 expect asked 1
+         op send INFO WORD
+         op expect 200
+         log2 send 2 draining e2 @e2
+         c0 send lookup 1
+         e1 expect fetch 1
+         e1 send 1 OK 1 a|b|c
+         c0 expect row
+         c0 expect complete",
+    );
+    assert!(stage.descriptors() <= SOCKETS);
+}
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 #[test]
 fn a_drain_reaches_every_worker_and_so_does_its_end() {
@@ -255,6 +256,7 @@
             group: GroupId(id),
             statement: "SELECT".into(),
             session: None,
+            cancelled: CancellationToken::new(),
         };
         self.crew.desk.submit(request).await
     }
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -5,6 +5,7 @@
 //! That it never ran is believed only of an error that says so in [`NOT_RUN`].
 
 use crate::Wires;
+use crate::slots::Slot;
 use arrow_flight::decode::FlightRecordBatchStream;
 use arrow_flight::flight_service_client::FlightServiceClient;
 use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
@@ -54,6 +55,7 @@
 
 /// A connection, and how many attempts it carries.
 struct Lane {
+    _slot: Slot,
     opening: Opening,
     out: usize,
     used: Instant,
@@ -102,12 +104,14 @@
         next_lane: 0,
         running: HashMap::new(),
     };
+    let mut wanted = actor.wires.slots.wanted();
     loop {
         tokio::select! {
             message = mailbox.recv() => match message {
                 Some(message) => actor.take(message).await,
                 None => return,
             },
+            Ok(()) = wanted.changed() => actor.lanes.retain(|_, lane| lane.out > 0),
             Some(over) = incoming.recv() => actor.over(over),
         }
     }
@@ -192,10 +196,15 @@
         if self.lanes.len() >= self.settings().most {
             return None;
         }
+        let Some(slot) = self.wires.slots.take(self.settings().in_all) else {
+            self.wires.slots.want();
+            return None;
+        };
         self.next_lane += 1;
         let limit = duration(self.settings().connect_timeout);
         let opening = open(self.endpoint.clone(), limit).boxed().shared();
         let lane = Lane {
+            _slot: slot,
             opening: opening.clone(),
             out: 1,
             used: Instant::now(),
@@ -213,7 +222,8 @@
             self.lane()
         };
         let Some((lane, opening)) = lane else {
-            self.reports.ended(id, number, End::ConnectFailed).await;
+            // No fault of the engine's.
+            self.reports.ended(id, number, End::Void).await;
             return;
         };
         let (pages, asked) = mpsc::channel(MAILBOX);
@@ -289,13 +299,15 @@
         drop(up);
         let (endpoint, reports) = (self.endpoint.clone(), self.reports.clone());
         let limit = duration(self.settings().connect_timeout);
+        let (slots, in_all) = (self.wires.slots.clone(), self.settings().in_all);
         tokio::spawn(async move {
-            let probe = match channel {
-                Some(channel) => stats(channel, limit).await,
-                None => match open(endpoint, limit).await {
+            let probe = match (channel, slots.take(in_all)) {
+                (Some(channel), _) => stats(channel, limit).await,
+                (None, Some(_slot)) => match open(endpoint, limit).await {
                     Some(channel) => stats(channel, limit).await,
                     None => Probe::ConnectFailed,
                 },
+                (None, None) => Probe::ConnectFailed,
             };
             reports.tell(Report::Probed(probe)).await;
         });
@@ -383,6 +395,11 @@
             self.reports.ended(id, number, End::ConnectFailed).await;
             return true;
         };
+        // Its connection may have taken long.
+        if self.attempt.is_void() {
+            self.reports.ended(id, number, End::Void).await;
+            return false;
+        }
         match self.result(client(channel)).await {
             Ok((stream, work)) => {
                 self.figures.forwarded(1);
--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -2,6 +2,9 @@
 
 pub mod flight;
 pub mod resp;
+mod slots;
+
+pub use slots::Slots;
 
 use sedgebeam_operation::Figures;
 use sedgebeam_port::{EngineBox, Engines, Reports, Target, supervise};
@@ -21,6 +24,8 @@
     pub connections: watch::Receiver<Connections>,
     /// Attempts are counted there once they are written.
     pub figures: Figures,
+    /// Connections to all engines take one each.
+    pub slots: Slots,
 }
 
 impl Engines for Wires {
--- a/engines/src/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -25,6 +25,8 @@
     More(RequestId, u32),
     Done(RequestId),
     Stats(u64),
+    /// Nothing to the engine: what waits to be written is looked at once more.
+    LookAgain,
 }
 
 /// What an answer is about: a request, or a probe's tag.
@@ -126,6 +128,7 @@
                 );
             }
             Command::Done(id) => put(bytes, &[b"done", hex(id).as_bytes()]),
+            Command::LookAgain => {}
             Command::Stats(number) => put(bytes, &[b"stats", tag(number).as_bytes()]),
         }
         Ok(())
--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -1,7 +1,9 @@
 //! One connection to an engine: its task, and what the engine's actor keeps of it.
 
 use super::codec::{Command, Reply, Resp};
-use futures::{SinkExt, StreamExt};
+use super::outgoing::{Named, Outgoing};
+use crate::slots::Slot;
+use futures::StreamExt;
 use sedgebeam_core::RequestId;
 use sedgebeam_operation::Figures;
 use std::collections::VecDeque;
@@ -11,7 +13,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::FramedRead;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Number(pub u64);
@@ -21,6 +23,8 @@
 pub enum Came {
     Up,
     Reply(Reply),
+    /// This was not written, as it may not begin any more.
+    Withdrawn(Named),
     /// It has ended, or never came up; these were not written to it.
     Down {
         unwritten: Vec<RequestId>,
@@ -51,18 +55,12 @@
 }
 
 impl Connection {
-    pub fn open(
-        number: Number,
-        endpoint: String,
-        limit: Duration,
-        came: mpsc::Sender<(Number, Came)>,
-        figures: Figures,
-    ) -> Connection {
+    pub fn open(link: Link, slot: Slot) -> Connection {
         let (mailbox, commands) = mpsc::channel(MAILBOX);
         let (kept, dropped) = oneshot::channel();
-        let dead = came.clone();
-        let name = format!("connection to {endpoint}");
-        let task = run(number, endpoint, limit, commands, dropped, came, figures);
+        let (number, dead) = (link.number, link.came.clone());
+        let name = format!("connection to {}", link.endpoint);
+        let task = link.run(commands, dropped, slot);
         sedgebeam_port::supervise::watch(name, task, move || {
             let unwritten = Vec::new();
             tokio::spawn(async move { dead.send((number, Came::Down { unwritten })).await });
@@ -110,38 +108,14 @@
     }
 }
 
-async fn run(
-    number: Number,
-    endpoint: String,
-    limit: Duration,
-    mut commands: mpsc::Receiver<Command>,
-    dropped: oneshot::Receiver<()>,
-    came: mpsc::Sender<(Number, Came)>,
-    figures: Figures,
-) {
-    let mut unwritten = Vec::new();
-    let serve = serve(
-        number,
-        &endpoint,
-        limit,
-        &mut commands,
-        &came,
-        &mut unwritten,
-        &figures,
-    );
-    let ended = tokio::select! {
-        biased;
-        _ = dropped => Ok(()),
-        ended = serve => ended,
-    };
-    if let Err(error) = ended {
-        log::info!("connection to {endpoint}: {error}");
-    }
-    commands.close();
-    while let Ok(command) = commands.try_recv() {
-        unwritten.extend(fetched(&command));
-    }
-    let _ = came.send((number, Came::Down { unwritten })).await;
+/// What a connection's task needs to know.
+pub struct Link {
+    pub number: Number,
+    pub endpoint: String,
+    /// It is up within this time, or never.
+    pub limit: Duration,
+    pub came: mpsc::Sender<(Number, Came)>,
+    pub figures: Figures,
 }
 
 fn fetched(command: &Command) -> Option<RequestId> {
@@ -151,89 +125,120 @@
     }
 }
 
-async fn serve(
-    number: Number,
-    endpoint: &str,
-    limit: Duration,
-    commands: &mut mpsc::Receiver<Command>,
-    came: &mpsc::Sender<(Number, Came)>,
-    unwritten: &mut Vec<RequestId>,
-    figures: &Figures,
-) -> io::Result<()> {
-    let stream = connect(endpoint, limit).await?;
-    // An actor that is gone wants no more word.
-    let _ = came.send((number, Came::Up)).await;
-    let (read_half, write_half) = stream.into_split();
-    tokio::select! {
-        ended = write(write_half, commands, unwritten, figures) => ended,
-        ended = read(read_half, number, came) => ended,
+impl Link {
+    async fn run(
+        self,
+        mut commands: mpsc::Receiver<Command>,
+        dropped: oneshot::Receiver<()>,
+        slot: Slot,
+    ) {
+        let mut outgoing = Outgoing::default();
+        let ended = tokio::select! {
+            biased;
+            _ = dropped => Ok(()),
+            ended = self.serve(&mut commands, &mut outgoing) => ended,
+        };
+        // Its descriptor is closed by now.
+        drop(slot);
+        if let Err(error) = ended {
+            log::info!("connection to {}: {error}", self.endpoint);
+        }
+        let mut unwritten: Vec<RequestId> = outgoing.unwritten().collect();
+        commands.close();
+        while let Ok(command) = commands.try_recv() {
+            unwritten.extend(fetched(&command));
+        }
+        self.tell(Came::Down { unwritten }).await;
     }
-}
 
-async fn connect(endpoint: &str, limit: Duration) -> io::Result<TcpStream> {
-    let late = |_| io::Error::new(io::ErrorKind::TimedOut, "not up in time");
-    let stream = timeout(limit, TcpStream::connect(endpoint))
-        .await
-        .map_err(late)??;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
+    async fn tell(&self, came: Came) {
+        // An actor that is gone wants no more word.
+        let _ = self.came.send((self.number, came)).await;
+    }
 
-/// Writes what is asked for, until nobody can ask any more. Where a connection turns out to be reset before
-/// a byte of what was to go out has been written, that is unwritten, and so never ran.
-async fn write(
-    half: OwnedWriteHalf,
-    commands: &mut mpsc::Receiver<Command>,
-    unwritten: &mut Vec<RequestId>,
-    figures: &Figures,
-) -> io::Result<()> {
-    let mut sink = FramedWrite::new(half, Resp);
-    while let Some(command) = commands.recv().await {
-        let mut fetches = Vec::from_iter(fetched(&command));
-        sink.feed(command).await?;
-        while sink.write_buffer().len() < sink.backpressure_boundary()
-            && let Ok(command) = commands.try_recv()
-        {
-            fetches.extend(fetched(&command));
-            sink.feed(command).await?;
+    async fn serve(
+        &self,
+        commands: &mut mpsc::Receiver<Command>,
+        outgoing: &mut Outgoing,
+    ) -> io::Result<()> {
+        let stream = self.connect().await?;
+        self.tell(Came::Up).await;
+        let (read_half, write_half) = stream.into_split();
+        tokio::select! {
+            // That the engine has closed an idle connection is seen before anything is written to it.
+            biased;
+            ended = self.read(read_half) => ended,
+            ended = self.write(write_half, commands, outgoing) => ended,
         }
-        let whole = sink.write_buffer().len();
-        if let Err(error) = sink.flush().await {
-            if sink.write_buffer().len() == whole {
-                unwritten.append(&mut fetches);
-            }
-            return Err(error);
-        }
-        figures.forwarded(fetches.len());
     }
-    Ok(())
-}
 
-/// Passes on what comes; what can't be read, or stops in the middle, ends the connection.
-async fn read(
-    half: OwnedReadHalf,
-    number: Number,
-    came: &mpsc::Sender<(Number, Came)>,
-) -> io::Result<()> {
-    let mut replies = FramedRead::new(half, Resp);
-    let mut stopped = false;
-    loop {
-        match timeout(HALF, replies.next()).await {
-            Ok(Some(reply)) => {
-                stopped = false;
-                if came.send((number, Came::Reply(reply?))).await.is_err() {
-                    return Ok(());
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let late = |_| io::Error::new(io::ErrorKind::TimedOut, "not up in time");
+        let stream = timeout(self.limit, TcpStream::connect(&self.endpoint))
+            .await
+            .map_err(late)??;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Writes what is asked for, until nobody can ask any more. What may not begin any more when the socket would take
+    /// it is told of instead. Where the connection turns out to be reset, that of which no byte was written never ran.
+    async fn write(
+        &self,
+        half: OwnedWriteHalf,
+        commands: &mut mpsc::Receiver<Command>,
+        outgoing: &mut Outgoing,
+    ) -> io::Result<()> {
+        loop {
+            let writable = tokio::select! {
+                biased;
+                // Also while the engine reads nothing: an abort may take out what still waits.
+                command = commands.recv(), if outgoing.len() < MAILBOX => match command {
+                    Some(command) => {
+                        outgoing.push(command)?;
+                        false
+                    }
+                    None => return Ok(()),
+                },
+                writable = half.writable(), if outgoing.len() > 0 => {
+                    writable?;
+                    true
+                }
+            };
+            let withdrawn = outgoing.withdraw();
+            if writable && outgoing.len() > 0 {
+                match half.try_write_vectored(&outgoing.slices()) {
+                    Ok(count) => self.figures.forwarded(outgoing.written(count)),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
                 }
             }
-            Ok(None) => {
-                let why = "closed by the engine";
-                return Err(io::Error::new(io::ErrorKind::ConnectionReset, why));
+            for named in withdrawn {
+                self.tell(Came::Withdrawn(named)).await;
             }
-            Err(_) if stopped => {
-                let why = "an answer stopped short";
-                return Err(io::Error::new(io::ErrorKind::TimedOut, why));
+        }
+    }
+
+    /// Passes on what comes; what can't be read, or stops in the middle, ends the connection.
+    async fn read(&self, half: OwnedReadHalf) -> io::Result<()> {
+        let mut replies = FramedRead::new(half, Resp);
+        let mut stopped = false;
+        loop {
+            match timeout(HALF, replies.next()).await {
+                Ok(Some(reply)) => {
+                    stopped = false;
+                    self.tell(Came::Reply(reply?)).await;
+                }
+                Ok(None) => {
+                    let why = "closed by the engine";
+                    return Err(io::Error::new(io::ErrorKind::ConnectionReset, why));
+                }
+                Err(_) if stopped => {
+                    let why = "an answer stopped short";
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, why));
+                }
+                Err(_) => stopped = !replies.read_buffer().is_empty(),
             }
-            Err(_) => stopped = !replies.read_buffer().is_empty(),
         }
     }
 }
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -3,11 +3,13 @@
 
 mod codec;
 mod connection;
+mod outgoing;
 
 use crate::Wires;
 use bytes::{Bytes, BytesMut};
 use codec::{About, Command, Reply, Word};
-use connection::{Came, Connection, Number};
+use connection::{Came, Connection, Link, Number};
+use outgoing::Named;
 use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
 use sedgebeam_port::clock::duration;
 use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
@@ -17,6 +19,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::CancellationToken;
 
 /// What came from connections and waits for the actor; they wait beyond it.
 const MAILBOX: usize = 1024;
@@ -34,6 +37,8 @@
     sent: Instant,
     /// What is to be written once the connection is up; none once it has been handed to it.
     waiting: Option<Attempt>,
+    /// Cancelled where it may not be written any more.
+    cancelled: CancellationToken,
     /// The good answer, while pages of it are still to come.
     result: Option<Partial>,
 }
@@ -78,7 +83,7 @@
     reports: Reports,
 ) {
     let (came, mut incoming) = mpsc::channel(MAILBOX);
-    let mut limits = wires.connections.clone();
+    let (mut limits, mut wanted) = (wires.connections.clone(), wires.slots.wanted());
     let mut actor = Actor::new(endpoint, wires, reports, came);
     loop {
         let look = actor.looks_at();
@@ -96,6 +101,7 @@
             },
             Some((number, came)) = incoming.recv() => actor.came(number, came).await,
             Ok(()) = limits.changed() => actor.look().await,
+            Ok(()) = wanted.changed() => actor.connections.retain(|_, connection| connection.busy()),
             () = sleep_until(look.unwrap_or_else(Instant::now)), if look.is_some() => actor.look().await,
         }
     }
@@ -174,7 +180,8 @@
     async fn send(&mut self, attempt: Attempt) {
         let (id, number) = (attempt.request, attempt.number);
         let Some(connection) = self.connection_for(Some(id)) else {
-            return self.never(id, number).await;
+            // That there is no slot for another connection is no fault of the engine's.
+            return self.reports.ended(id, number, End::Void).await;
         };
         let up = match self.connections.get_mut(&connection) {
             Some(connection) => {
@@ -187,6 +194,7 @@
             number,
             connection,
             sent: Instant::now(),
+            cancelled: attempt.cancelled.clone(),
             waiting: Some(attempt),
             result: None,
         };
@@ -221,6 +229,16 @@
         }
     }
 
+    /// An attempt was taken out before a byte of it was written.
+    async fn withdrawn(&mut self, connection: Number, (id, number): Named) {
+        if self
+            .on(connection, id)
+            .is_some_and(|out| out.number == number)
+        {
+            self.end(connection, id, End::Void).await;
+        }
+    }
+
     /// An attempt was not written to any connection.
     async fn never(&self, id: RequestId, number: AttemptNo) {
         self.reports.ended(id, number, End::ConnectFailed).await;
@@ -239,19 +257,32 @@
         let best = fit.max_by_key(|(number, connection)| (least(connection), number.0));
         let full = self.connections.len() >= self.settings().most;
         if let Some((number, connection)) = best
-            && (full || request.is_none() || connection.out == 0)
+            && (request.is_none() || connection.out == 0)
         {
             return Some(*number);
         }
-        if full {
-            return None;
-        }
+        let shared = best.map(|(number, _)| *number);
+        let slot = if full {
+            None
+        } else {
+            self.wires.slots.take(self.settings().in_all)
+        };
+        let Some(slot) = slot else {
+            if shared.is_none() && !full {
+                self.wires.slots.want();
+            }
+            return shared;
+        };
         self.next_connection += 1;
         let number = Number(self.next_connection);
-        let timeout = duration(self.settings().connect_timeout);
-        let (endpoint, came) = (self.endpoint.clone(), self.came.clone());
-        let connection =
-            Connection::open(number, endpoint, timeout, came, self.wires.figures.clone());
+        let link = Link {
+            number,
+            endpoint: self.endpoint.clone(),
+            limit: duration(self.settings().connect_timeout),
+            came: self.came.clone(),
+            figures: self.wires.figures.clone(),
+        };
+        let connection = Connection::open(link, slot);
         self.connections.insert(number, connection);
         Some(number)
     }
@@ -274,14 +305,17 @@
             self.ended_on(out.connection);
             return;
         }
+        out.cancelled.cancel();
         // Of a result that is on its way no more is wanted; all else is called off.
         let command = match out.result {
             Some(_) => Command::Done(id),
             None => Command::Abort(id),
         };
-        self.command(out.connection, command);
+        let told = self.command(out.connection, command);
         if let Some(connection) = self.connections.get_mut(&out.connection) {
             connection.give_up(id, out.sent);
+            // Its engine would run on what it is not told of; it gives all up once the connection is closed.
+            connection.spent |= !told;
         }
     }
 
@@ -384,6 +418,7 @@
                 }
             }
             Came::Reply(reply) => self.reply(number, reply).await,
+            Came::Withdrawn(named) => self.withdrawn(number, named).await,
             Came::Down { unwritten } => self.down(number, &unwritten).await,
         }
     }
@@ -458,8 +493,14 @@
     }
 
     /// What waits for a connection to come up has not been written and is taken back, all of it before the first is
-    /// told of: while that waits for the broker, a connection might come up.
+    /// told of: while that waits for the broker, a connection might come up. What waits behind others at its connection
+    /// is taken out there.
     async fn nothing_new(&mut self) {
+        self.out.values().for_each(|out| out.cancelled.cancel());
+        let connections = self.connections.keys().copied();
+        for number in connections.collect::<Vec<_>>() {
+            self.command(number, Command::LookAgain);
+        }
         let waiting = self.out.extract_if(|_, out| out.waiting.is_some());
         let waiting: Vec<(RequestId, Out)> = waiting.collect();
         for (_, out) in &waiting {
@@ -528,6 +569,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::Slots;
     use sedgebeam_core::EngineId;
     use sedgebeam_operation::Figures;
     use tokio::sync::watch;
@@ -536,6 +578,7 @@
     async fn an_engine_with_nothing_out_and_no_connection_has_nobody_wake() {
         let connections = Connections {
             most: 2,
+            in_all: 64,
             max_streams: 2,
             connect_timeout: Micros::from_millis(250),
             idle: Micros::from_millis(30_000),
@@ -544,6 +587,7 @@
         let wires = Wires {
             connections: watch::channel(connections).1,
             figures: Figures::default(),
+            slots: Slots::default(),
         };
         let (broker, _told) = mpsc::channel(4);
         let (came, _coming) = mpsc::channel(4);
--- /dev/null
+++ b/engines/src/resp/outgoing.rs
@@ -0,0 +1,98 @@
+//! Commands on their way to an engine. Each waits here until the socket takes its first byte, and is looked at once more
+//! at that moment.
+//!
+//! Guards against an engine that reads nothing for a while: what waited would be written long after its client had left,
+//! its attempt had been given up, or the engine had been told of as draining.
+
+use super::codec::{Command, Resp};
+use bytes::{Buf, Bytes, BytesMut};
+use sedgebeam_core::{AttemptNo, RequestId};
+use sedgebeam_port::Attempt;
+use std::collections::VecDeque;
+use std::io::{self, IoSlice};
+use tokio_util::codec::Encoder;
+
+/// Commands given to the socket at once.
+const MOST_AT_ONCE: usize = 16;
+
+/// An attempt by its names.
+pub type Named = (RequestId, AttemptNo);
+
+struct Frame {
+    bytes: Bytes,
+    /// The attempt that it begins, while none of it is written.
+    begins: Option<Attempt>,
+}
+
+#[derive(Default)]
+pub struct Outgoing {
+    frames: VecDeque<Frame>,
+}
+
+impl Outgoing {
+    pub fn len(&self) -> usize {
+        self.frames.len()
+    }
+
+    pub fn push(&mut self, command: Command) -> io::Result<()> {
+        let begins = match &command {
+            Command::Fetch(attempt) => Some(attempt.clone()),
+            _ => None,
+        };
+        let mut bytes = BytesMut::new();
+        Resp.encode(command, &mut bytes)?;
+        if !bytes.is_empty() {
+            let bytes = bytes.freeze();
+            self.frames.push_back(Frame { bytes, begins });
+        }
+        Ok(())
+    }
+
+    /// Takes out the attempts that may not begin any more.
+    pub fn withdraw(&mut self) -> Vec<Named> {
+        let void = |frame: &Frame| frame.begins.as_ref().is_some_and(Attempt::is_void);
+        let named = |attempt: &Attempt| (attempt.request, attempt.number);
+        let withdrawn = self.frames.iter().filter(|frame| void(frame));
+        let withdrawn: Vec<Named> = withdrawn
+            .filter_map(|f| f.begins.as_ref().map(named))
+            .collect();
+        if !withdrawn.is_empty() {
+            self.frames.retain(|frame| {
+                !frame
+                    .begins
+                    .as_ref()
+                    .is_some_and(|a| withdrawn.contains(&named(a)))
+            });
+        }
+        withdrawn
+    }
+
+    /// What is to be written next, in pieces.
+    pub fn slices(&self) -> Vec<IoSlice<'_>> {
+        let frames = self.frames.iter().take(MOST_AT_ONCE);
+        frames.map(|frame| IoSlice::new(&frame.bytes)).collect()
+    }
+
+    /// So many bytes have been written; how many attempts began with them.
+    pub fn written(&mut self, mut count: usize) -> usize {
+        let mut begun = 0;
+        while count > 0
+            && let Some(frame) = self.frames.front_mut()
+        {
+            begun += usize::from(frame.begins.take().is_some());
+            let part = count.min(frame.bytes.len());
+            frame.bytes.advance(part);
+            count -= part;
+            if frame.bytes.is_empty() {
+                self.frames.pop_front();
+            }
+        }
+        begun
+    }
+
+    /// The attempts of which not a byte has been written.
+    pub fn unwritten(self) -> impl Iterator<Item = RequestId> {
+        let begins = self.frames.into_iter().filter_map(|frame| frame.begins);
+        begins.map(|attempt| attempt.request)
+    }
+}
--- a/fronts/src/flight.rs
+++ b/fronts/src/flight.rs
@@ -176,7 +176,7 @@
         let unknown = || Status::not_found("this ticket was never given, or is over");
         match tickets.held.remove(&number).ok_or_else(unknown)? {
             Held::Ready(request) => {
-                let token = CancellationToken::new();
+                let token = request.cancelled.clone();
                 let running = Held::Running(token.clone(), request.deadline);
                 tickets.held.insert(number, running);
                 let running = Running {
@@ -353,7 +353,8 @@
         request: Request<PeekableFlightDataStream>,
     ) -> Result<i64, Status> {
         let held = self.read(update.query, request.metadata())?;
-        let mut delivery = self.answer(held, &CancellationToken::new()).await?;
+        let cancelled = held.cancelled.clone();
+        let mut delivery = self.answer(held, &cancelled).await?;
         let mut rows = 0;
         while let Some(page) = delivery.next().await.map_err(|Broken| lost())? {
             rows += page.rows.iter().filter(|byte| **byte == b'\n').count();
--- a/fronts/src/statement.rs
+++ b/fronts/src/statement.rs
@@ -6,6 +6,7 @@
 use sedgebeam_port::{NewRequest, SessionKey};
 use sedgebeam_settings::{Names, micros, millis};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// The schema whose names are not counted.
 const STAGING: &str = "staging";
@@ -102,6 +103,7 @@
         group: GroupId(group(text).unwrap_or_default()),
         statement,
         session,
+        cancelled: CancellationToken::new(),
     })
 }
 
--- a/port/src/answer.rs
+++ b/port/src/answer.rs
@@ -1,6 +1,7 @@
 //! The final answer to a request, and how a front waits for it.
 
-use crate::{BrokerBox, EngineBox, More, Page, ToBroker, ToEngine};
+use crate::desk::UnderWay;
+use crate::{BrokerBox, EngineBox, More, NewRequest, Page, ToBroker, ToEngine};
 use sedgebeam_core::{AttemptNo, RequestId};
 use sedgebeam_operation::{Disposition, Running};
 use std::future::Future;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 /// The final answer to a request. Whoever holds its sender can give it only once.
 #[derive(Debug)]
@@ -146,18 +148,24 @@
     answered: bool,
     /// Counts the request; with a result it goes on to that.
     running: Option<Running>,
+    cancelled: CancellationToken,
+    /// Names it to those who cancel what its session has under way.
+    _under_way: Option<UnderWay>,
 }
 
 impl Pending {
-    pub fn new(
-        request: RequestId,
+    pub(crate) fn new(
+        request: &NewRequest,
         answer: oneshot::Receiver<Answer>,
         broker: Option<BrokerBox>,
         lost: Answer,
         running: Option<Running>,
+        under_way: Option<UnderWay>,
     ) -> Pending {
         Pending {
-            request,
+            request: request.id,
+            cancelled: request.cancelled.clone(),
+            _under_way: under_way,
             answer,
             broker,
             lost: Some(lost),
@@ -202,6 +210,8 @@
         let Some(broker) = self.broker.take().filter(|_| !self.answered) else {
             return;
         };
+        // At once: the broker may have thousands of messages before the word, and decides meanwhile.
+        self.cancelled.cancel();
         // The client has left; its session may be gone, so the word must not depend on it.
         if let Err(full) = broker.try_send(ToBroker::ClientLeft(self.request)) {
             let word = full.into_inner();
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -13,11 +13,13 @@
 use sedgebeam_core::{Effect, Held, Micros, RequestId, Tenant, mix};
 use sedgebeam_operation::Figures;
 use sedgebeam_retune::{Table, Tuning};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex as Lock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use tokio::sync::{Mutex, oneshot, watch};
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 /// A broker beats so often while there are several.
 pub const BEAT: Duration = Duration::from_millis(20);
@@ -40,10 +42,41 @@
     /// Clients choose their ids: without it one could have all that it asks land on one shard.
     seed: u64,
     began: Instant,
+    /// What each session has under way, for those who cancel it.
+    sessions: Sessions,
     /// Held while all brokers are told something, so that they hear all in the same order.
     standing: Mutex<Standing>,
 }
 
+/// By session its request, how it is called off, and the broker that has it.
+type Sessions = Arc<Lock<HashMap<SessionKey, (RequestId, CancellationToken, BrokerBox)>>>;
+
+/// A session's entry there, taken out when its request is over.
+#[derive(Debug)]
+pub(crate) struct UnderWay {
+    sessions: Sessions,
+    key: SessionKey,
+}
+
+impl UnderWay {
+    fn new(sessions: &Sessions, request: &NewRequest, broker: &BrokerBox) -> Option<UnderWay> {
+        let (key, sessions) = (request.session?, sessions.clone());
+        let entry = (request.id, request.cancelled.clone(), broker.clone());
+        sessions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(key, entry);
+        Some(UnderWay { sessions, key })
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        sessions.remove(&self.key);
+    }
+}
+
 #[derive(Clone)]
 pub struct Desk {
     shared: Arc<Shared>,
@@ -67,6 +100,7 @@
                 tuning: RwLock::new(Arc::new(tuning.clone())),
                 seed,
                 began: Instant::now(),
+                sessions: Sessions::default(),
                 standing: Mutex::new(Standing::new(Table::new(tuning))),
             }),
         }
@@ -155,7 +189,10 @@
         };
         let running = class.map(|class| self.shared.figures.take(&class.name));
         let mailbox = self.mailbox_for(request.id);
-        let pending = Pending::new(request.id, answer, mailbox.clone(), lost, running);
+        let under_way = mailbox.as_ref();
+        let under_way =
+            under_way.and_then(|broker| UnderWay::new(&self.shared.sessions, &request, broker));
+        let pending = Pending::new(&request, answer, mailbox.clone(), lost, running, under_way);
         if let Some(mailbox) = mailbox {
             // Where the broker is gone, the reply goes with the message and the answer says so.
             let _ = mailbox.send(ToBroker::Submit(request, reply)).await;
@@ -167,13 +204,18 @@
         (0..self.slots().len()).filter_map(|shard| self.mailbox(shard))
     }
 
-    /// Calls off what a session asked, whichever shard has it.
+    /// Calls off what a session asked. Nothing more of it is sent from here on; the broker hears of it in its turn.
     pub async fn cancel(&self, session: SessionKey) {
-        let told = self.all().map(|mailbox| async move {
+        let under_way = {
+            let sessions = self.shared.sessions.lock();
+            let sessions = sessions.unwrap_or_else(PoisonError::into_inner);
+            sessions.get(&session).cloned()
+        };
+        if let Some((id, cancelled, broker)) = under_way {
+            cancelled.cancel();
             // A broker that is gone has nothing to cancel.
-            let _ = mailbox.send(ToBroker::Cancel(session)).await;
-        });
-        futures::future::join_all(told).await;
+            let _ = broker.send(ToBroker::ClientLeft(id)).await;
+        }
     }
 
     /// Tells all brokers of a change of the list, a silent one too: it hears of it first of all.
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// What an engine's actor is asked to do.
 #[derive(Debug)]
@@ -31,6 +33,18 @@
     pub timeout: Duration,
     pub rank: u8,
     pub statement: Bytes,
+    /// Cancelled once it is given up, or its client has gone.
+    pub cancelled: CancellationToken,
+    /// It may not begin later: its time is over then, or engines no longer drop it as a repeat.
+    pub starts_by: Instant,
+}
+
+impl Attempt {
+    /// Whether nothing of it may be written any more: asked where it is, at the moment of its first byte. It may
+    /// have waited there for its connection, or behind what the engine does not read.
+    pub fn is_void(&self) -> bool {
+        self.cancelled.is_cancelled() || Instant::now() >= self.starts_by
+    }
 }
 
 /// Asks for a further page of a result.
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 pub type BrokerBox = mpsc::Sender<ToBroker>;
 
@@ -24,6 +25,9 @@
     pub statement: Bytes,
     /// The session that a cancel names, where the wire has such.
     pub session: Option<SessionKey>,
+    /// Cancelled once its client has gone or called it off: from then on nothing of it is sent, however many
+    /// messages the broker still has before that word.
+    pub cancelled: CancellationToken,
 }
 
 /// Names a session to those who may cancel what it asked.
@@ -33,8 +37,8 @@
 #[derive(Debug)]
 pub enum ToBroker {
     Submit(NewRequest, oneshot::Sender<Answer>),
+    /// Its client has gone, or called it off.
     ClientLeft(RequestId),
-    Cancel(SessionKey),
     Engine(EngineId, Report),
     EngineDied(EngineId),
     List(Listing, Vec<Target>),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -119,8 +119,9 @@
 /// How connections to engines are kept; the decision module is not told.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Connections {
-    /// Connections to one engine at the most.
+    /// Connections to one engine at the most, and to all of them.
     pub most: usize,
+    pub in_all: usize,
     pub max_streams: usize,
     pub connect_timeout: Micros,
     pub idle: Micros,
@@ -226,6 +227,7 @@
         let limits = self.limits.clone().unwrap_or_default();
         Connections {
             most: 24,
+            in_all: usize::MAX,
             max_streams: limits.max_streams.unwrap_or(32).max(1) as usize,
             connect_timeout: micros(limits.connect_timeout.unwrap_or(250.0)),
             idle: micros(limits.conn_idle.unwrap_or(30_000.0)),
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -437,6 +437,8 @@
                 request,
                 engine,
                 timeout,
+                // There an attempt begins as it is sent.
+                starts_by: _,
             } => self.push(
                 i,
                 "route",
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -356,11 +356,13 @@
         memory_mb: f64,
         priority: u8,
     },
-    /// Start the request's next attempt; it times out after `timeout`.
+    /// Start the request's next attempt; it times out after `timeout`. Where `starts_by` is told it must have begun at
+    /// its engine by then, however long its connection takes, or not at all.
     Send {
         request: RequestId,
         engine: EngineId,
         timeout: Micros,
+        starts_by: Option<Micros>,
     },
     Cancel {
         request: RequestId,
@@ -401,6 +403,7 @@
             request,
             engine,
             timeout,
+            starts_by: None,
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod parts;
 mod policy;
 mod remembered;
+mod repeats;
 mod retune;
 mod scale;
 mod state;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,8 +67,6 @@
 const MEAN_GAIN: f64 = 0.05;
 /// Most that one answer says of an engine's pace: a heavy query is not a slow engine.
 const RATIO_CAP: f64 = 1.5;
-/// A keyed repeat stays this far inside its window: a send takes time to arrive.
-const WINDOW_MARGIN: Micros = Micros::from_millis(50);
 /// A load of another gateway, known by what stands still behind it, counts as running for this long.
 const HELD_LASTS: Micros = Micros::from_millis(800);
 /// Time between looks at what is waiting or out.
@@ -706,32 +704,6 @@
         line.waiting.front() == Some(&request.query.id) && rested
     }
 
-    fn effect_allows(&self, request: &Request, engine: &Engine) -> bool {
-        let class = &self.settings.classes[request.class];
-        let Some(earlier) = request.may_have_run() else {
-            return true;
-        };
-        let first = self.engines.get(&earlier.engine).map(|first| &first.entry);
-        let same = match class.effect {
-            Effect::Repeatable => return true,
-            Effect::Once => false,
-            Effect::Keyed(Group::All) => true,
-            Effect::Keyed(Group::Zone) => first.is_some_and(|first| first.zone == engine.zone),
-            Effect::Keyed(Group::Cell) => first.is_some_and(|first| first.cell == engine.cell),
-        };
-        same && self.now + WINDOW_MARGIN < earlier.sent_at + class.window
-    }
-
-    fn attempts_allow(&self, request: &Request) -> bool {
-        let (made, out) = (request.attempts.len(), request.attempts_out());
-        let copies = usize::from(self.settings.second_copies);
-        let rationed = self.settings.attempt_budget.is_some_and(|budget| {
-            let made = self.extra.count(self.now, budget.window) + 1.0;
-            made > budget.free + budget.per_request * self.taken.count(self.now, budget.window)
-        });
-        made < request.attempts_allowed && out <= copies && (made == 0 || !rationed)
-    }
-
     // ---- 8. Attempts ----
 
     fn send(&mut self, id: RequestId, to: EngineId) -> Option<()> {
@@ -741,12 +713,18 @@
             return None;
         }
         let (work, need) = (self.weight(request.class), self.need(request));
+        let starts_by = self.starts_by(request);
         if self.settings.takes_grants || self.settings.takes_priorities {
             self.actions.push(self.terms(request));
         }
         let (request, engine) = self.requests.get_mut(&id).zip(self.engines.get_mut(&to))?;
         let timeout = request.deadline - now;
-        self.actions.push(Action::send(id, to, timeout));
+        self.actions.push(Action::Send {
+            request: id,
+            engine: to,
+            timeout,
+            starts_by,
+        });
         if engine.attempts_out == 0 {
             engine.heard_at = now;
         }
--- /dev/null
+++ b/src/repeats.rs
@@ -0,0 +1,44 @@
+//! Whether a request may be sent again, and by when: the second rule, and the budget of attempts.
+
+use crate::interface::*;
+use crate::policy::Gateway;
+use crate::state::Request;
+
+/// A keyed repeat stays this far inside its window: a send takes time to arrive.
+const WINDOW_MARGIN: Micros = Micros::from_millis(50);
+
+impl Gateway {
+    pub(crate) fn effect_allows(&self, request: &Request, engine: &Engine) -> bool {
+        let class = &self.settings.classes[request.class];
+        let Some(earlier) = request.may_have_run() else {
+            return true;
+        };
+        let first = self.engines.get(&earlier.engine).map(|first| &first.entry);
+        let same = match class.effect {
+            Effect::Repeatable => return true,
+            Effect::Once => false,
+            Effect::Keyed(Group::All) => true,
+            Effect::Keyed(Group::Zone) => first.is_some_and(|first| first.zone == engine.zone),
+            Effect::Keyed(Group::Cell) => first.is_some_and(|first| first.cell == engine.cell),
+        };
+        same && self.starts_by(request).is_some_and(|by| self.now < by)
+    }
+
+    /// By when a repeat has to begin at its engine: engines drop it within the window of the first that may have run.
+    pub(crate) fn starts_by(&self, request: &Request) -> Option<Micros> {
+        let class = &self.settings.classes[request.class];
+        let keyed = matches!(class.effect, Effect::Keyed(_));
+        let earlier = request.may_have_run().filter(|_| keyed)?;
+        Some(earlier.sent_at + (class.window - WINDOW_MARGIN))
+    }
+
+    pub(crate) fn attempts_allow(&self, request: &Request) -> bool {
+        let (made, out) = (request.attempts.len(), request.attempts_out());
+        let copies = usize::from(self.settings.second_copies);
+        let rationed = self.settings.attempt_budget.is_some_and(|budget| {
+            let made = self.extra.count(self.now, budget.window) + 1.0;
+            made > budget.free + budget.per_request * self.taken.count(self.now, budget.window)
+        });
+        made < request.attempts_allowed && out <= copies && (made == 0 || !rationed)
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -136,6 +136,49 @@
     }
 }
 
+/// A connection may take longer to come up than is left of the window: the repeat then may not begin at all. The window
+/// counts from the first attempt that may have run, and one too short for a send to arrive allows no repeat.
+#[test]
+fn a_keyed_repeat_says_by_when_it_has_to_begin() {
+    let starts_by = |done: &[Action]| {
+        done.iter().find_map(|action| match action {
+            Action::Send { starts_by, .. } => Some(*starts_by),
+            _ => None,
+        })
+    };
+    let mut settings = settings();
+    settings.classes[LOAD].effect = Effect::Keyed(Group::All);
+    for (window, repeated) in [
+        (ms(5000), true),
+        (ms(400), true),
+        (ms(50), false),
+        (ms(0), false),
+    ] {
+        settings.classes[LOAD].window = window;
+        let mut bench = Bench::with_engines(settings.clone(), 3);
+        let first = bench.request(1, LOAD);
+        assert_eq!(
+            starts_by(&first),
+            Some(None),
+            "a first attempt has no such bound"
+        );
+        let began = bench.now;
+        let to = sent_to(&first).expect("an engine is ready");
+        // That this one never ran leaves the window shut still; the next may have run, and opens it.
+        let again = bench.ends(1, 0, to, Outcome::ConnectFailed);
+        assert_eq!(starts_by(&again), Some(None));
+        bench.now = bench.now + ms(100);
+        let to = sent_to(&again).expect("another engine");
+        let second = bench.ends(1, 1, to, Outcome::Reset);
+        let by = repeated.then(|| began + window - ms(50));
+        assert_eq!(starts_by(&second), by.map(Some), "{window:?}");
+    }
+    // What is safe to repeat has no window.
+    let mut bench = Bench::with_engines(settings, 2);
+    let to = sent_to(&bench.request(1, LIGHT)).expect("an engine is ready");
+    assert_eq!(starts_by(&bench.ends(1, 0, to, Outcome::Reset)), Some(None));
+}
+
 #[test]
 fn no_second_attempt_while_one_is_out() {
     let mut bench = Bench::with_engines(settings(), 3);
--- a/tests/storm.rs
+++ b/tests/storm.rs
@@ -75,7 +75,8 @@
                     request,
                     engine,
                     timeout,
-                } => self.check_send(request.0, engine.0, *timeout),
+                    starts_by,
+                } => self.check_send(request.0, engine.0, *timeout, *starts_by),
                 Action::Refuse { request, .. } => {
                     let taken = &self.requests[&request.0];
                     let class = &self.settings.classes[taken.query.class.0];
@@ -115,7 +116,7 @@
         );
     }
 
-    fn check_send(&mut self, id: u64, to: u64, timeout: Micros) {
+    fn check_send(&mut self, id: u64, to: u64, timeout: Micros, starts_by: Option<Micros>) {
         let (settings, now) = (&self.settings, self.now);
         let taken = &self.requests[&id];
         let class = &settings.classes[taken.query.class.0];
@@ -149,6 +150,8 @@
                 Effect::Once => panic!("rule 2: sent again"),
                 Effect::Keyed(group) => {
                     assert!(now < earlier.sent_at + class.window, "rule 2: window");
+                    let by = starts_by.expect("rule 2: a bound for its beginning");
+                    assert!(now < by && by < earlier.sent_at + class.window, "rule 2");
                     match group {
                         Group::All => {}
                         Group::Zone => assert_eq!(engine.zone, earlier.engine.zone, "rule 2"),
--- a/virtual/src/doubles.rs
+++ b/virtual/src/doubles.rs
@@ -112,6 +112,7 @@
                         request,
                         engine,
                         timeout,
+                        ..
                     },
                 ) => {
                     let engine = self.drained.unwrap_or(engine);
@@ -123,6 +124,7 @@
                         request,
                         engine,
                         timeout,
+                        ..
                     },
                 ) => {
                     let engine = self.coldest.map_or(engine, |cold| cold.1);
--- a/virtual/src/world.rs
+++ b/virtual/src/world.rs
@@ -506,6 +506,7 @@
                 request,
                 engine,
                 timeout,
+                ..
             } => self.sends(at, request, engine.0, timeout),
             Action::Cancel { request, attempt } => {
                 if let Some(asked) = self.open.get(&request)
