End sessions in order, watch clients that send ahead, and hear a cancel without a place

Read for races in fronts/pg, each forced by a test on a real socket:

- wait() stopped reading once one message was held: a client that sent ahead and went was not noticed until its answer came.
It is watched all the time now; 64 messages or one message's length are held, more end the session with 08P01.
- A session's socket was dropped as it was: over unread bytes that is a reset.
All paths now end by one farewell: write, shut down the sending side, read on and drop until the client has closed it, 500 ms at the most.
- A query that had come when its session lost its place was dropped without a word; it is refused with 53300 now.
- A cancel that came when all places were taken was turned away unread; it is read and done behind the refusal.
- A client that takes nothing of short answers held its place for good; after 5 s its session ends.

--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -358,11 +358,13 @@
         let began = self.clock.micros(Instant::now());
         let sessions = Sessions {
             crew: self.crew.clone(),
-            shared: Shared {
-                desk: self.crew.desk.clone(),
+            serving: pg::Serving {
+                shared: Shared {
+                    desk: self.crew.desk.clone(),
+                },
+                longest: config.message,
+                farewells: Arc::new(Semaphore::new(config.descriptors.farewells)),
             },
-            leaving: Arc::new(Semaphore::new(config.descriptors.farewells)),
-            message: config.message,
             staying: self.duty.staying(),
             alive: self.alive.clone(),
             places,
@@ -471,10 +473,7 @@
 
 struct Sessions {
     crew: Arc<Crew>,
-    shared: Shared,
-    /// Connections that are being turned away.
-    leaving: Arc<Semaphore>,
-    message: usize,
+    serving: pg::Serving,
     staying: Staying,
     alive: mpsc::Sender<()>,
     places: Places,
@@ -513,14 +512,15 @@
 
     /// Refuses a connection with a word; where too many are being refused already, without one.
     fn turn_away(&self, stream: TcpStream, why: pg::Away) {
-        let Ok(leaving) = self.leaving.clone().try_acquire_owned() else {
+        let Some(farewell) = self.serving.farewell() else {
             return;
         };
+        let shared = self.serving.shared.clone();
         supervise::watch(
             "a farewell".to_string(),
             async move {
-                pg::turn_away(stream, why).await;
-                drop(leaving);
+                pg::turn_away(stream, &shared, why).await;
+                drop(farewell);
             },
             || {},
         );
@@ -541,8 +541,7 @@
             return;
         }
         self.next = self.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let (shared, key) = (self.shared.clone(), SessionKey(self.next));
-        let message = self.message;
+        let (serving, key) = (self.serving.clone(), SessionKey(self.next));
         let leave = self
             .staying
             .newcomer(sedgebeam_core::mix(key.0) as f64 / u64::MAX as f64);
@@ -557,7 +556,7 @@
                 Ok(stream)
             };
             match stream {
-                Ok(stream) => pg::serve(stream, shared, key, leave, place, message).await,
+                Ok(stream) => pg::serve(stream, serving, key, leave, place).await,
                 Err(error) => log::warn!("a session is not handed over: {error}"),
             }
             drop((alive, counted));
--- /dev/null
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -0,0 +1,179 @@
+//! Ends of connections that cross what their client says, on real sockets: the front alone, before a broker that the
+//! test plays.
+
+use crate::pg_client::{query, startup, statement};
+use sedgebeam_core::{ClassId, GroupId, Micros, RequestId};
+use sedgebeam_fronts::leave::Staying;
+use sedgebeam_fronts::places::{Places, Standing};
+use sedgebeam_fronts::{Shared, pg};
+use sedgebeam_operation::{Drain, Figures};
+use sedgebeam_port::{Answer, Desk, NewRequest, SessionKey, ToBroker};
+use sedgebeam_retune::Tuning;
+use sedgebeam_settings::Facts;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// No verdict hangs on this: it only ends a test that would wait for ever.
+const HANGS: Duration = Duration::from_secs(60);
+
+struct Front {
+    serving: pg::Serving,
+    broker: mpsc::Receiver<ToBroker>,
+    places: Places,
+}
+
+async fn front(places: usize) -> Front {
+    let facts: Facts = miniserde::json::from_str(crate::stage::SETTINGS).expect("settings");
+    let tuning = Tuning {
+        settings: facts.settings(),
+        names: facts.names(),
+        most_open: 100,
+    };
+    let desk = Desk::new(1, 1, Figures::default(), tuning);
+    let (mailbox, broker) = mpsc::channel(64);
+    desk.open(0, mailbox).await.expect("a broker");
+    let mut front = Front {
+        serving: pg::Serving {
+            shared: Shared { desk },
+            longest: 16 * 1024,
+            farewells: Arc::new(Semaphore::new(4)),
+        },
+        broker,
+        places: Places::new(places),
+    };
+    // The settings and the list.
+    for _ in 0..2 {
+        front.broker.recv().await.expect("is told");
+    }
+    front
+}
+
+impl Front {
+    /// Serves a connection on which the client has said this, once all of it is there to be read.
+    async fn serve(&self, said: &[u8]) -> TcpStream {
+        let (client, server) = pair(said).await;
+        let (place, _) = self.places.take().expect("a place");
+        let orders = watch::channel(Drain::new(false).orders(Duration::ZERO)).1;
+        let leave = Staying::new(orders, Instant::now()).newcomer(0.5);
+        let serving = self.serving.clone();
+        tokio::spawn(pg::serve(server, serving, SessionKey(7), leave, place));
+        client
+    }
+
+    async fn told(&mut self) -> ToBroker {
+        self.broker.recv().await.expect("the broker is told")
+    }
+}
+
+/// Both ends of a connection on which the first has said this and the other can read it.
+async fn pair(said: &[u8]) -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut client = TcpStream::connect(address).await.expect("connects");
+    let (server, _) = listener.accept().await.expect("accepts");
+    client.write_all(said).await.expect("writes");
+    let mut there = vec![0; said.len()];
+    while server.peek(&mut there).await.expect("reads") < said.len() {}
+    (client, server)
+}
+
+/// All that a client is told, to the end in order of its connection.
+async fn heard(mut client: TcpStream) -> String {
+    let mut heard = Vec::new();
+    client.read_to_end(&mut heard).await.expect("no reset");
+    String::from_utf8_lossy(&heard).into_owned()
+}
+
+fn inside<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let played = async { timeout(HANGS, test()).await };
+    let played = runtime.expect("a runtime").block_on(played);
+    played.expect("something that is waited for never comes");
+}
+
+/// The query has come and has not been read when the session has to give its place up.
+#[test]
+fn a_query_that_crosses_the_loss_of_its_place_is_refused() {
+    inside(|| async {
+        let mut front = front(1).await;
+        let mut said = startup();
+        said.extend(query(&statement("lookup 1")));
+        let client = front.serve(&said).await;
+        // Before the session's task has run at all.
+        let (newcomer, gave_way) = front.places.take().expect("the stranger gives way");
+        assert!(gave_way && newcomer.stand(Standing::Busy));
+        let heard = heard(client).await;
+        assert!(heard.contains("53300"), "{heard}");
+        assert!(front.broker.try_recv().is_err(), "it was sent on");
+    });
+}
+
+/// What the client has said meanwhile is unread when the session ends: a plain close would be a reset.
+#[test]
+fn a_session_that_ends_over_unread_bytes_ends_in_order() {
+    inside(|| async {
+        let front = front(1).await;
+        let mut said = startup();
+        (0..7).for_each(|_| said.extend(query("SELECT 1")));
+        let mut client = front.serve(&said).await;
+        let (mut heard, mut part) = (Vec::new(), [0; 1024]);
+        let errors = |heard: &[u8]| String::from_utf8_lossy(heard).matches("42601").count();
+        while errors(&heard) < 6 {
+            let count = client.read(&mut part).await.expect("reads");
+            assert!(count > 0, "closed too early");
+            heard.extend(&part[..count]);
+        }
+        // It has the seventh already, and reads nothing more before it closes.
+        client.write_all(&query("SELECT 1")).await.expect("writes");
+        client.read_to_end(&mut heard).await.expect("no reset");
+        assert_eq!(errors(&heard), 7);
+    });
+}
+
+#[test]
+fn a_cancel_finds_its_request_though_all_places_are_taken() {
+    inside(|| async {
+        let mut front = front(1).await;
+        let cancelled = CancellationToken::new();
+        let desk = front.serving.shared.desk.clone();
+        let request = NewRequest {
+            id: RequestId(5),
+            class: ClassId(1),
+            tenant: None,
+            deadline: Instant::now() + HANGS,
+            work: Micros(0),
+            memory_mb: 0.0,
+            group: GroupId(0),
+            statement: "SELECT".into(),
+            session: Some(SessionKey(7)),
+            cancelled: cancelled.clone(),
+        };
+        let pending = desk.submit(request).await;
+        let ToBroker::Submit(_, reply) = front.told().await else {
+            panic!("no request")
+        };
+        let mut said = 16u32.to_be_bytes().to_vec();
+        said.extend(80_877_102u32.to_be_bytes());
+        said.extend(7u64.to_be_bytes());
+        let (client, server) = pair(&said).await;
+        let shared = front.serving.shared.clone();
+        let away = pg::turn_away(server, &shared, pg::Away::NoPlace);
+        let (_, heard) = tokio::join!(away, heard(client));
+        assert!(heard.contains("53300"), "{heard}");
+        // Nothing is sent from then on, before the broker has heard of it.
+        assert!(cancelled.is_cancelled());
+        assert!(matches!(
+            front.told().await,
+            ToBroker::ClientLeft(RequestId(5))
+        ));
+        drop(reply);
+        assert!(matches!(pending.await, Answer::Refused { .. }));
+    });
+}
--- a/dispatcher/tests/scenarios/main.rs
+++ b/dispatcher/tests/scenarios/main.rs
@@ -1,6 +1,7 @@
 //! Scenarios: the program itself, started on ephemeral ports of the loopback, between scripted peers.
 
 mod actors;
+mod closes;
 mod command_line;
 mod engines;
 mod flight_client;
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -171,6 +171,29 @@
     }
 }
 
+#[test]
+fn a_client_that_sends_ahead_is_watched_all_the_same() {
+    // It leaves behind what it has sent ahead; or sends ahead more than is held, which ends its session alone.
+    Stage::new(&["e1"]).play(&format!(
+        "c1 send report 1
+         e1 expect fetch 1
+         c1 send report 2
+         c1 close
+         e1 expect abort 1
+         c2 send report 3
+         e1 expect fetch 3
+         {}e1 expect abort 3
+         c2 expect error 08P01
+         c2 expect closed
+         c3 send lookup 4
+         e1 expect fetch 4
+         e1 send 4 OK 1 a|b|c
+         c3 expect row
+         c3 expect complete",
+        "c2 send empty\n".repeat(65)
+    ));
+}
+
 /// Whatever idle clients, callers and strangers fill, the change log, the door, the engines and the files keep theirs.
 #[test]
 fn idle_clients_of_every_kind_leave_descriptors_for_all_else() {
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -5,16 +5,19 @@
 use super::leave::Leave;
 use super::places::{Place, Standing};
 use super::{Shared, reason, statement};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use codec::{Error, Pg, Said, Say};
-use futures::{SinkExt, StreamExt};
+use futures::{FutureExt, SinkExt, StreamExt};
 use sedgebeam_port::{Answer, Broken, Delivery, Failure, Pending, SessionKey};
+use std::collections::VecDeque;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use tokio_util::codec::{Encoder, Framed};
+use tokio_util::codec::Framed;
 
 /// A connection that has not said what it wants by then is closed.
 const STARTUP: Duration = Duration::from_secs(2);
@@ -23,7 +26,13 @@
 /// The pause before anything more is read of a client whose message was of no use, doubled with each in a
 /// row: one that sends the same again at once takes no time from the others.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
-/// A connection that is turned away has so long to take its word and go, and may say so much meanwhile.
+/// A client that takes nothing of a short answer for so long has gone: its request is answered, but nobody else would
+/// have its place.
+const TAKES: Duration = Duration::from_secs(5);
+/// Messages that a client may have sent ahead of the answer to an earlier one, and in all no more bytes than one message
+/// may have: it is watched while it waits, and more can't be held.
+const MOST_HELD: usize = 64;
+/// A connection that is closed has so long to take its last word and go, and may say so much meanwhile.
 const FAREWELL: Duration = Duration::from_millis(500);
 const MOST_FAREWELL: u64 = 64 * 1024;
 /// So many of them in a row end the session, all within the 3 s in which such a client is owed a word.
@@ -31,30 +40,67 @@
 
 type Wire = Framed<TcpStream, Pg>;
 
+/// What sessions have in common.
+#[derive(Clone)]
+pub struct Serving {
+    pub shared: Shared,
+    /// The longest message that a client may send.
+    pub longest: usize,
+    /// Held by connections that are closed without a place: those turned away, and those that gave theirs up.
+    pub farewells: Arc<Semaphore>,
+}
+
+impl Serving {
+    /// Leave to hold a descriptor without a place for a while; none where too many do so.
+    pub fn farewell(&self) -> Option<OwnedSemaphorePermit> {
+        self.farewells.clone().try_acquire_owned().ok()
+    }
+}
+
 /// Serves a connection until it ends, or until it must go.
 pub async fn serve(
     stream: TcpStream,
-    shared: Shared,
+    serving: Serving,
     key: SessionKey,
     leave: Leave,
     place: Place,
-    longest: usize,
 ) {
     let gives_way = place.gives_way();
-    let session = Session {
-        wire: Framed::new(stream, Pg::new(longest)),
-        shared,
+    let mut session = Session {
+        wire: Framed::new(stream, Pg::new(serving.longest)),
+        shared: serving.shared.clone(),
         key,
         leave,
         place,
         useless: 0,
-        held: None,
+        longest: serving.longest,
+        held: VecDeque::new(),
     };
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        () = gives_way.cancelled() => log::debug!("session {}: gives way", key.0),
-        ended = session.run() => if let Err(error) = ended {
-            log::debug!("session {}: {error}", key.0);
+        () = gives_way.cancelled() => None,
+        ended = session.run() => Some(ended),
+    };
+    match ended {
+        None => {
+            log::debug!("session {}: gives way", key.0);
+            let Some(_farewell) = serving.farewell() else {
+                return;
+            };
+            session.give_way().await;
+        }
+        Some(ended) => {
+            if let Err(error) = ended {
+                log::debug!("session {}: {error}", key.0);
+                session.complain(&error).await;
+            }
+            // It is the first to give way to a newcomer now.
+            session.place.stand(Standing::Stranger);
+            tokio::select! {
+                biased;
+                () = gives_way.cancelled() => {}
+                () = farewell(session.wire) => {}
+            }
         }
     }
 }
@@ -66,29 +112,43 @@
     Draining,
 }
 
-/// Refuses a connection. It is closed only once its client has closed it, or after a while: closing on what the
-/// client has said and nobody has read would take the word away from it.
-pub async fn turn_away(mut stream: TcpStream, why: Away) {
+/// Refuses a connection. It may have come to cancel what another session has under way, and for that needs no place.
+pub async fn turn_away(stream: TcpStream, shared: &Shared, why: Away) {
     let told = match why {
         Away::NoPlace => refusal("53300", "there are too many sessions; nothing ran"),
         Away::Draining => draining(),
     };
-    let mut bytes = BytesMut::new();
-    // Nothing is read with this one.
-    if Pg::new(0).encode(Say::Error(told), &mut bytes).is_err() {
-        return;
-    }
-    let farewell = async {
-        stream.write_all(&bytes).await?;
-        stream.shutdown().await?;
-        let mut rest = stream.take(MOST_FAREWELL);
-        tokio::io::copy(&mut rest, &mut tokio::io::sink()).await
+    // No statement is read with this one.
+    let mut wire = Framed::new(stream, Pg::new(0));
+    let heard = async {
+        wire.send(Say::Error(told)).await?;
+        SinkExt::close(&mut wire).await?;
+        while let Some(said) = wire.next().await {
+            if let Said::Cancel(key) = said? {
+                shared.desk.cancel(SessionKey(key)).await;
+            }
+        }
+        io::Result::Ok(())
     };
-    match timeout(FAREWELL, farewell).await {
-        Ok(Ok(_)) => {}
+    match timeout(FAREWELL, heard).await {
+        Ok(Ok(())) => {}
         Ok(Err(error)) => log::debug!("a connection that was turned away: {error}"),
         Err(_) => log::debug!("a connection that was turned away stays"),
     }
+    farewell(wire).await;
+}
+
+/// Closes a connection in order: what is written goes out, and what its client still says is read and dropped until it
+/// has closed it too, or for a while. Closing over bytes that nobody has read resets the connection, and that takes away
+/// what the client has not read yet.
+async fn farewell(mut wire: Wire) {
+    let farewell = async {
+        SinkExt::close(&mut wire).await?;
+        let mut rest = wire.into_inner().take(MOST_FAREWELL);
+        tokio::io::copy(&mut rest, &mut tokio::io::sink()).await
+    };
+    // Whoever stays, or is gone already, has had what there was.
+    let _ = timeout(FAREWELL, farewell).await;
 }
 
 fn refusal(code: &'static str, message: &str) -> Error {
@@ -111,14 +171,16 @@
     place: Place,
     /// Messages of no use in a row.
     useless: u32,
+    longest: usize,
     /// What the client said while its last query was under way.
-    held: Option<Said>,
+    held: VecDeque<Said>,
 }
 
 impl Session {
-    async fn run(mut self) -> io::Result<()> {
+    async fn run(&mut self) -> io::Result<()> {
         let started = timeout(STARTUP, self.start()).await;
-        if !started.map_err(late)?? {
+        // Whoever speaks another protocol could not read a complaint.
+        if !started.map_err(late)?.map_err(io::Error::other)? {
             return Ok(());
         }
         while let Some(said) = self.listen().await? {
@@ -129,7 +191,7 @@
                     }
                 }
                 Said::Terminate => break,
-                Said::Sync => self.wire.send(Say::Ready).await?,
+                Said::Sync => self.say(Say::Ready).await?,
                 said => {
                     if !self.unsupported(&said).await? {
                         break;
@@ -144,9 +206,9 @@
     async fn start(&mut self) -> io::Result<bool> {
         while let Some(said) = self.wire.next().await {
             match said? {
-                Said::Encrypt => self.wire.send(Say::NoEncryption).await?,
+                Said::Encrypt => self.say(Say::NoEncryption).await?,
                 Said::Startup => {
-                    self.wire.send(Say::Welcome(self.key.0)).await?;
+                    self.say(Say::Welcome(self.key.0)).await?;
                     return Ok(true);
                 }
                 Said::Cancel(key) => {
@@ -161,24 +223,56 @@
 
     /// What the client says next; `None` when it has gone, or must go.
     async fn listen(&mut self) -> io::Result<Option<Said>> {
-        if let Some(said) = self.held.take() {
+        if let Some(said) = self.held.pop_front() {
             return Ok(Some(said));
         }
         tokio::select! {
             biased;
-            said = next(&mut self.wire) => match said {
-                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-                    let message = error.to_string();
-                    let told = Error { code: "08P01", message, hint: None };
-                    self.wire.send(Say::Error(told)).await?;
-                    Ok(None)
-                }
-                said => said,
-            },
+            said = next(&mut self.wire) => said,
             () = self.leave.when_idle() => Ok(None),
         }
     }
 
+    /// Tells the client why its session ends.
+    async fn complain(&mut self, error: &io::Error) {
+        if error.kind() != io::ErrorKind::InvalidData {
+            return;
+        }
+        let told = Error {
+            code: "08P01",
+            message: error.to_string(),
+            hint: None,
+        };
+        // A client that has gone hears nothing.
+        let _ = self.say(Say::Error(told)).await;
+    }
+
+    /// Ends a session that has given its place up. A query that has just come is refused: nothing of it ran.
+    async fn give_way(mut self) {
+        for _ in 0..MOST_HELD {
+            match self.wire.next().now_or_never().flatten() {
+                Some(Ok(Said::Query(text))) if !is_empty(&text) => {
+                    // As above.
+                    let _ = self.no_place().await;
+                    break;
+                }
+                Some(Ok(_)) => {}
+                _ => break,
+            }
+        }
+        farewell(self.wire).await;
+    }
+
+    async fn no_place(&mut self) -> io::Result<()> {
+        let told = refusal("53300", "there are too many sessions; nothing ran");
+        self.say(Say::Error(told)).await
+    }
+
+    /// Says something short, and waits until the client has taken it.
+    async fn say(&mut self, say: Say) -> io::Result<()> {
+        timeout(TAKES, self.wire.send(say)).await.map_err(late)?
+    }
+
     /// Answers what is of no use, and reads on only after a pause; false where that was once too often.
     async fn reject(&mut self, code: &'static str, message: String) -> io::Result<bool> {
         let told = Error {
@@ -187,7 +281,7 @@
             hint: None,
         };
         self.wire.feed(Say::Error(told)).await?;
-        self.wire.send(Say::Ready).await?;
+        self.say(Say::Ready).await?;
         self.useless += 1;
         if self.useless >= MOST_USELESS {
             return Ok(false);
@@ -204,7 +298,7 @@
             message,
             hint: None,
         };
-        self.wire.send(Say::Error(told)).await?;
+        self.say(Say::Error(told)).await?;
         loop {
             match self.listen().await? {
                 Some(Said::Sync) => break,
@@ -212,7 +306,7 @@
                 Some(_) => {}
             }
         }
-        self.wire.send(Say::Ready).await?;
+        self.say(Say::Ready).await?;
         Ok(true)
     }
 
@@ -227,7 +321,7 @@
                 Say::Error(draining())
             };
             self.wire.feed(told).await?;
-            self.wire.send(Say::Ready).await?;
+            self.say(Say::Ready).await?;
             return Ok(true);
         }
         let tuning = self.shared.desk.tuning();
@@ -236,6 +330,7 @@
             Ok(request) => {
                 // One that must give way at this moment has sent nothing on.
                 if !self.place.stand(Standing::Busy) {
+                    self.no_place().await?;
                     return Ok(false);
                 }
                 let pending = self.shared.desk.submit(request).await;
@@ -267,20 +362,28 @@
             }
             Answer::Failed(failure) => self.wire.feed(Say::Error(failed(failure))).await?,
         }
-        self.wire.send(Say::Ready).await?;
+        self.say(Say::Ready).await?;
         self.useless = 0;
         Ok(self.place.stand(Standing::Idle) && !self.leave.after_answer())
     }
 
-    /// Waits for the answer and watches the client meanwhile; `None` when it has gone.
+    /// Waits for the answer and watches the client meanwhile, whatever it has sent ahead; `None` when it has gone.
     async fn wait(&mut self, mut pending: Pending) -> io::Result<Option<Answer>> {
+        let mut ahead = 0;
         loop {
             tokio::select! {
                 biased;
                 answer = &mut pending => return Ok(Some(answer)),
-                said = self.wire.next(), if self.held.is_none() => match said.transpose()? {
+                said = self.wire.next() => match said.transpose()? {
                     None | Some(Said::Terminate) => return Ok(None),
-                    said => self.held = said,
+                    Some(said) => {
+                        ahead += if let Said::Query(text) = &said { text.len() } else { 0 };
+                        self.held.push_back(said);
+                        if ahead > self.longest || self.held.len() > MOST_HELD {
+                            let why = "too much was sent ahead of an answer";
+                            return Err(io::Error::new(io::ErrorKind::InvalidData, why));
+                        }
+                    }
                 }
             }
         }
