Count only callers without their answer at the door, and start without discovery

Change: a caller gives its place back with its answer, and lingers on one of the program's farewells, or not at all where none is left; 16 to 32 callers. The test has the caller that goes on come after the others are there.

Also a scenario with a change log that is down and one that accepts and says nothing: the program serves, is told to end twice with a request under way, and answers it.

--- a/dispatcher/src/descriptors.rs
+++ b/dispatcher/src/descriptors.rs
@@ -4,7 +4,7 @@
 const MOST_FLIGHT: usize = 96;
 /// Callers at the door, and connections that are closed without a place: for each so many descriptors one, within bounds.
 const FOR_A_CALLER: usize = 32;
-const CALLERS: (usize, usize) = (4, 32);
+const CALLERS: (usize, usize) = (16, 32);
 const FOR_A_FAREWELL: usize = 16;
 const FAREWELLS: (usize, usize) = (4, 16);
 /// The process itself: standard streams, listeners, signals, the pollers and wakers of two threads, the change log's
--- a/dispatcher/src/door.rs
+++ b/dispatcher/src/door.rs
@@ -12,9 +12,11 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener as Bound};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -35,6 +37,8 @@
     pub clock: Clock,
     /// Callers at once; beyond it whoever has been here for longest without a whole line gives way.
     pub callers: usize,
+    /// Held by callers that have their answer and are still there.
+    pub farewells: Arc<Semaphore>,
 }
 
 /// Opens the door, on a thread of its own.
@@ -62,21 +66,23 @@
     let listener = TcpListener::from_std(listener)?;
     let mut callers = FuturesUnordered::new();
     let mut waiting: VecDeque<CancellationToken> = VecDeque::new();
-    let most = desk.callers;
+    // Each caller without its answer has one of these.
+    let places = Arc::new(());
     loop {
+        waiting.retain(|caller| !caller.is_cancelled());
+        let full = Arc::strong_count(&places) > desk.callers;
         tokio::select! {
             biased;
             Some(()) = callers.next() => {}
-            // Those who take their answer are soon gone; more than these wait to be accepted.
-            accepted = listener.accept(), if callers.len() < most || !waiting.is_empty() => match accepted {
+            // Those who take their answer soon have it; more than these wait to be accepted.
+            accepted = listener.accept(), if !full || !waiting.is_empty() => match accepted {
                 Ok((stream, _)) => {
-                    waiting.retain(|caller| !caller.is_cancelled());
-                    if callers.len() >= most && let Some(longest) = waiting.pop_front() {
+                    if full && let Some(longest) = waiting.pop_front() {
                         longest.cancel();
                     }
-                    let place = CancellationToken::new();
-                    waiting.push_back(place.clone());
-                    callers.push(caller(stream, desk.clone(), place));
+                    let gives_way = CancellationToken::new();
+                    waiting.push_back(gives_way.clone());
+                    callers.push(caller(stream, desk.clone(), gives_way, places.clone()));
                 }
                 Err(error) => {
                     log::warn!("the door: {error}");
@@ -88,14 +94,14 @@
 }
 
 /// One caller, until it has its answer, its time is over or it gives way.
-async fn caller(mut stream: TcpStream, desk: Desk, place: CancellationToken) {
+async fn caller(mut stream: TcpStream, desk: Desk, gives_way: CancellationToken, place: Arc<()>) {
     let asked = tokio::select! {
         biased;
         asked = timeout(CALL_LIMIT, line(&mut stream)) => asked,
-        () = place.cancelled() => return,
+        () = gives_way.cancelled() => return,
     };
     // It waits for nobody any more, and so gives way to nobody.
-    place.cancel();
+    gives_way.cancel();
     let answered = match asked {
         Ok(Ok(Some(line))) => answer(&mut stream, &desk, &line).await,
         Ok(Ok(None)) => return,
@@ -107,6 +113,15 @@
     };
     if let Err(error) = answered {
         log::debug!("a caller at the door: {error}");
+        return;
+    }
+    drop(place);
+    // Where too many stay with their answer, those who come now go without a farewell.
+    if let Ok(_farewell) = desk.farewells.try_acquire() {
+        let mut rest = stream.take(MOST_FAREWELL);
+        let mut sink = tokio::io::sink();
+        // Whether it is read to its end matters no more.
+        let _ = timeout(FAREWELL, tokio::io::copy(&mut rest, &mut sink)).await;
     }
 }
 
@@ -132,12 +147,7 @@
 async fn answer(stream: &mut TcpStream, desk: &Desk, line: &[u8]) -> io::Result<()> {
     let told = told(desk, line);
     timeout(CALL_LIMIT, stream.write_all(told.as_bytes())).await??;
-    stream.shutdown().await?;
-    let mut rest = stream.take(MOST_FAREWELL);
-    let mut sink = tokio::io::sink();
-    // Whether it is read to its end matters no more.
-    let _ = timeout(FAREWELL, tokio::io::copy(&mut rest, &mut sink)).await;
-    Ok(())
+    stream.shutdown().await
 }
 
 fn told(desk: &Desk, line: &[u8]) -> String {
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -78,6 +78,8 @@
     duty: Duty,
     clock: Clock,
     crew: Arc<Crew>,
+    /// For connections that are closed without a place.
+    farewells: Arc<Semaphore>,
     /// Hears once the last call is over.
     end: watch::Sender<bool>,
     /// Every session holds one; when the last is dropped, all have ended.
@@ -101,7 +103,8 @@
     for class in &config.names.classes {
         figures.class(class);
     }
-    open_door(&config, &duty, &figures, clock)?;
+    let farewells = Arc::new(Semaphore::new(config.descriptors.farewells));
+    open_door(&config, &duty, &figures, clock, &farewells)?;
     supervise::vital("the drain", duty.clone().keep_time());
     let (whole, told) = watch::channel(config.connections);
     let (divided, heeded) = watch::channel(config.connections);
@@ -147,6 +150,7 @@
         duty: duty.clone(),
         clock,
         crew,
+        farewells,
         end: watch::channel(false).0,
         alive,
         config,
@@ -211,7 +215,13 @@
     Ok(())
 }
 
-fn open_door(config: &Config, duty: &Duty, figures: &Figures, clock: Clock) -> io::Result<()> {
+fn open_door(
+    config: &Config,
+    duty: &Duty,
+    figures: &Figures,
+    clock: Clock,
+    farewells: &Arc<Semaphore>,
+) -> io::Result<()> {
     let Some(address) = config.control else {
         return Ok(());
     };
@@ -220,6 +230,7 @@
         figures: figures.clone(),
         clock,
         callers: config.descriptors.callers,
+        farewells: farewells.clone(),
     };
     let address = door::open(address, desk)?;
     log::info!("{} takes calls of operators on {address}", config.name);
@@ -363,7 +374,7 @@
                     desk: self.crew.desk.clone(),
                 },
                 longest: config.message,
-                farewells: Arc::new(Semaphore::new(config.descriptors.farewells)),
+                farewells: self.farewells.clone(),
             },
             staying: self.duty.staying(),
             alive: self.alive.clone(),
--- a/dispatcher/tests/scenarios/life.rs
+++ b/dispatcher/tests/scenarios/life.rs
@@ -232,3 +232,23 @@
         ));
     }
 }
+
+#[test]
+fn a_start_does_not_wait_for_discovery_and_its_end_neither() {
+    for log in ["d1", "s1"] {
+        Stage::new(&["e1", log]).play(
+            "c1 send empty
+             c1 expect empty
+             c1 send lookup 1
+             e1 expect fetch 1
+             app close
+             app wait last call
+             app close
+             e1 send 1 OK 1 a|b|c
+             c1 expect row a|b|c
+             c1 expect complete 1
+             c1 expect closed
+             app expect 0",
+        );
+    }
+}
--- a/dispatcher/tests/scenarios/operation.rs
+++ b/dispatcher/tests/scenarios/operation.rs
@@ -29,12 +29,15 @@
 #[test]
 fn a_call_may_come_in_pieces_and_callers_who_finish_none_hold_up_nobody() {
     let mut stage = Stage::new(&["e1"]);
-    // 40 who say half a word; the door has 32 places.
-    for caller in 0..40 {
+    // 40 who say half a word; the door has 16 places.
+    for caller in 0..39 {
         stage.play(&format!("to{caller} send 50 49"));
     }
     stage.play(
         "op send PING
+         op expect 200
+         to39 send 50 49
+         op send PING
          op expect 200
          to39 send 4e
          to39 send 47 0a
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -5,7 +5,7 @@
 //! What a peer hears is queued for it, so nothing depends on how fast anything is. Peers are made by
 //! their names: `c1` a PostgreSQL client, `f1` a Flight SQL client, `e1` an engine that speaks RESP,
 //! `g1` one that speaks Flight SQL, `m1` one that
-//! takes connections and says nothing, `op` an operator at the door (`send INFO WORD` hears the figures whose
+//! takes connections and says nothing, `d1` and `s1` change logs that are down or silent, `op` an operator at the door (`send INFO WORD` hears the figures whose
 //! names begin so), `adm` the administration, `log` the change log, `tcp` bare bytes (`tf` and `ta` to
 //! the Flight SQL front and the administration, `to` to the door); `app` is the
 //! program: `send reload LOG`, `send half` and `send put TEXT => TEXT` replace its file, or a text in it, and tell it,
@@ -125,6 +125,15 @@
                     runtime.spawn(engines::mute(listener, role));
                     targets.push(target(name, &endpoint, "up"));
                 }
+                "d" | "s" => {
+                    // A change log that is down, or one that takes connections and never says anything.
+                    let kept = (&name[..1] == "s").then_some(listener);
+                    runtime.spawn(async move {
+                        let _kept = (kept, role);
+                        std::future::pending::<()>().await;
+                    });
+                    changelog.get_or_insert(address);
+                }
                 _ => {
                     runtime.spawn(engines::changelog(listener, role));
                     // Others than the first are for a reload.
