Hand on the word by which engines know a repeat, and leave a reused name alone

A trace of what came showed a field `unique` with requests of keyed classes, which the dispatcher dropped; engines know it as `token`. Ruled out: class names, the statement, the number of tenants and zones.

A client had come again under the name of a request that was over, whose timers were still to fall due: they answered the second one as failed. Due::Attempt and Due::Answer now carry the deadline of their request, a report counts only from the engine at which the attempt is, and a request is noted as over once.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -39,9 +39,9 @@
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Module(TimerId),
-    Attempt(RequestId, AttemptNo),
+    Attempt(RequestId, Instant, AttemptNo),
     /// The final answer is overdue.
-    Answer(RequestId),
+    Answer(RequestId, Instant),
 }
 
 /// An engine as the broker knows it.
@@ -207,12 +207,22 @@
         while let Some(first) = self.due.first_entry().filter(|first| first.key().0 <= now) {
             match first.remove() {
                 Due::Module(timer) => self.events.push(Event::Timer(timer)),
-                Due::Attempt(id, number) => self.timed_out(id, number, now),
-                Due::Answer(id) => self.overdue(id),
+                // Of a request that is over another may have the name by now, with a time of its own.
+                Due::Attempt(id, deadline, number) if self.is_of(id, deadline) => {
+                    self.timed_out(id, number, now);
+                }
+                Due::Answer(id, deadline) if self.is_of(id, deadline) => self.overdue(id),
+                Due::Attempt(..) | Due::Answer(..) => {}
             }
         }
     }
 
+    /// Whether the request of this name is the one with this deadline.
+    fn is_of(&self, id: RequestId, deadline: Instant) -> bool {
+        let open = self.open.get(&id);
+        open.is_some_and(|open| open.deadline == deadline)
+    }
+
     /// Tells the gateway what has happened and does what it says.
     fn batch(&mut self, now: Instant) {
         self.last_batch = Some(now);
@@ -331,8 +341,8 @@
             ToBroker::Engine(engine, Report::Ended(id, number, end)) => {
                 self.ended(engine, id, number, end);
             }
-            ToBroker::Engine(_, Report::Note(id, number, note)) => {
-                if self.is_out(id, number) {
+            ToBroker::Engine(engine, Report::Note(id, number, note)) => {
+                if self.is_out(engine, id, number) {
                     self.events.push(Event::Note(id, number, note));
                 }
             }
@@ -439,7 +449,7 @@
             group: request.group,
         }));
         let slack = duration(self.settings.answer_slack);
-        self.at(request.deadline + slack, Due::Answer(id));
+        self.at(request.deadline + slack, Due::Answer(id, request.deadline));
         self.open.insert(id, Open::new(request, tenant, reply));
     }
 
@@ -462,9 +472,13 @@
         self.settle(id);
     }
 
-    /// Notes a request that is over and has nothing out.
+    /// Notes a request that is over and has nothing out, once: noted again it would take one of the same name with it
+    /// that has come since.
     fn settle(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(Open::is_settled) {
+        if let Some(open) = self.open.get_mut(&id)
+            && open.is_settled()
+            && !std::mem::replace(&mut open.noted, true)
+        {
             self.over.push(id);
         }
     }
@@ -486,10 +500,10 @@
 
     // ---- Attempts ----
 
-    fn is_out(&self, id: RequestId, number: AttemptNo) -> bool {
-        self.open
-            .get(&id)
-            .is_some_and(|open| open.out(number).is_some())
+    /// Whether it is out there: of an earlier request of this name the same attempt may have been elsewhere.
+    fn is_out(&self, engine: EngineId, id: RequestId, number: AttemptNo) -> bool {
+        let out = self.open.get(&id).and_then(|open| open.out(number));
+        out.is_some_and(|out| out.engine == engine)
     }
 
     fn terms(&mut self, id: RequestId, priority: u8) {
@@ -548,6 +562,7 @@
             timeout,
             rank: open.rank,
             statement: open.statement.clone(),
+            token: open.token.clone(),
             cancelled: open.cancelled.child_token(),
             starts_by: starts_by.map_or(now + timeout, |by| {
                 self.clock.instant(by).min(now + timeout)
@@ -563,7 +578,8 @@
             sent: now,
             cancelled,
         }));
-        self.at(now + timeout, Due::Attempt(id, number));
+        let deadline = open.deadline;
+        self.at(now + timeout, Due::Attempt(id, deadline, number));
     }
 
     /// Tells the gateway how an attempt ended.
@@ -616,6 +632,9 @@
     fn ended(&mut self, engine: EngineId, id: RequestId, number: AttemptNo, end: End) {
         let now = Instant::now();
         // What was called off or timed out has had its outcome.
+        if !self.is_out(engine, id, number) {
+            return;
+        }
         let Some(out) = self.take_back(id, number) else {
             return;
         };
@@ -662,8 +681,8 @@
 
     fn probe(&mut self, engine: EngineId) {
         let known = self.engines.get(&engine);
-        let asked = known.map(|known| known.mailbox.try_send(ToEngine::Probe));
-        if !matches!(asked, Some(Ok(()))) {
+        let asked = known.is_some_and(|known| known.mailbox.try_send(ToEngine::Probe).is_ok());
+        if !asked {
             self.events
                 .push(Event::Probed(engine, Outcome::ConnectFailed, None));
         }
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, ClassId, EngineId, TenantId};
 use sedgebeam_port::{Answer, EngineBox, NewRequest};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -24,11 +25,14 @@
     pub tenant: Option<TenantId>,
     pub deadline: Instant,
     pub statement: Bytes,
+    pub token: Option<Arc<str>>,
     /// Cancelled once its client has gone or called it off.
     pub cancelled: CancellationToken,
     pub rank: u8,
     /// By number; `None` once it has had its outcome.
     pub attempts: Vec<Option<Out>>,
+    /// It is noted as over, with nothing out.
+    pub noted: bool,
 }
 
 impl Open {
@@ -43,10 +47,12 @@
             tenant,
             deadline: request.deadline,
             statement: request.statement,
+            token: request.token,
             cancelled: request.cancelled,
             // The priority of what has none set.
             rank: 1,
             attempts: Vec::new(),
+            noted: false,
         }
     }
 
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -27,7 +27,7 @@
 
 fn setup() -> Setup {
     let facts = r#"{"balancers": 1, "tick": 5, "domain": {"tells_cost": true}, "tenants": [{"name": "acme"}],
-        "limits": {"cancel": true, "max_attempts": 3}, "services": [{"name": "load", "give_up": 9000}]}"#;
+        "limits": {"cancel": true, "max_attempts": 3}, "services": [{"name": "load", "on_time": 9000, "give_up": 9000}]}"#;
     let facts: sedgebeam_settings::Facts = miniserde::json::from_str(facts).expect("settings");
     let tuning = Tuning {
         settings: facts.settings(),
@@ -74,6 +74,7 @@
         memory_mb: 0.0,
         group: GroupId(0),
         statement: Bytes::from_static(b"INSERT"),
+        token: None,
         session: None,
         cancelled: CancellationToken::new(),
     }
@@ -403,3 +404,35 @@
         });
     }
 }
+
+/// A client that has gone comes again under the name of its request: what is left of the first one, to be told, to fall due or
+/// to be reported, must not touch the second.
+#[test]
+fn a_request_that_comes_again_under_its_name_has_nothing_of_the_first() {
+    inside(|| {
+        let mut bench = bench();
+        bench.send();
+        bench.broker.client_left(ID, Failure::Cancelled);
+        bench.broker.call_off(ID, FIRST, Instant::now());
+        // The gateway sends once more in the batch in which it is told, which notes the request as over again.
+        bench.send();
+        bench.broker.batch(Instant::now());
+        let (reply, mut answer) = oneshot::channel();
+        let again = NewRequest {
+            deadline: Instant::now() + Duration::from_secs(90),
+            ..request()
+        };
+        bench.broker.submit(again, reply);
+        bench.send();
+        bench.broker.batch(Instant::now());
+        bench.broker.batch(Instant::now());
+        // All that the first had to fall due does, and another engine ends an attempt of the same number.
+        bench
+            .broker
+            .fall_due(Instant::now() + Duration::from_secs(30));
+        bench.broker.ended(EngineId(2), ID, FIRST, End::Void);
+        let unanswered = oneshot::error::TryRecvError::Empty;
+        assert_eq!(answer.try_recv().err(), Some(unanswered));
+        assert!(bench.broker.is_out(ENGINE, ID, FIRST));
+    });
+}
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -90,6 +90,7 @@
             timeout: Duration::from_secs(9),
             rank: 1,
             statement,
+            token: None,
             cancelled: self.cancelled.child_token(),
             starts_by: self.starts_by,
         };
--- a/dispatcher/tests/scenarios/pg_client.rs
+++ b/dispatcher/tests/scenarios/pg_client.rs
@@ -7,6 +7,9 @@
 
 /// The statement of a request, as both kinds of client write it.
 pub fn statement(words: &str) -> String {
+    if let Some(text) = words.strip_prefix("text ") {
+        return text.to_string();
+    }
     let mut words = words.split(' ');
     let (class, id) = (words.next().unwrap_or(""), words.next().unwrap_or("0"));
     let limit = words.next().unwrap_or("60000");
@@ -75,10 +78,7 @@
         "empty" => query(""),
         "sync" => vec![b'S', 0, 0, 0, 4],
         "parse" => vec![b'P', 0, 0, 0, 4],
-        words => match words.strip_prefix("text ") {
-            Some(text) => query(text),
-            None => query(&statement(words)),
-        },
+        words => query(&statement(words)),
     }
 }
 
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -255,6 +255,7 @@
             // Each load has a group of its own: none waits for another.
             group: GroupId(id),
             statement: "SELECT".into(),
+            token: None,
             session: None,
             cancelled: CancellationToken::new(),
         };
--- a/engines/src/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -102,7 +102,11 @@
         match command {
             Command::Fetch(attempt) => {
                 let wait = attempt.timeout.as_millis().max(1);
-                let fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
+                let mut fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
+                if let Some(token) = &attempt.token {
+                    fields.push_str(",token=");
+                    fields.push_str(token);
+                }
                 let id = hex(attempt.request);
                 put(
                     bytes,
--- a/fronts/src/statement.rs
+++ b/fronts/src/statement.rs
@@ -22,6 +22,9 @@
 /// A client waits at most this many times as long as its class is worth waiting for.
 const MOST_PATIENCE: f64 = 2.0;
 
+/// The longest word by which engines know a repeat.
+const MOST_TOKEN: usize = 128;
+
 /// What is wrong with a statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unusable(pub String);
@@ -89,6 +92,11 @@
     let class = field("verb").and_then(|verb| names.class(verb));
     let class = class.ok_or_else(|| unusable("verb"))?;
     let longest = names.give_up.get(class.0).copied().unwrap_or_default();
+    let token = field("unique");
+    let fits = |token: &str| (1..=MOST_TOKEN).contains(&token.len()) && token.bytes().all(is_plain);
+    if !token.is_none_or(fits) {
+        return Err(unusable("unique"));
+    }
     let limit = number("limit", millis(longest) * MOST_PATIENCE)?;
     if limit == 0.0 {
         return Err(unusable("limit"));
@@ -102,11 +110,17 @@
         memory_mb: number("memory", MOST_MEMORY_MB)?,
         group: GroupId(group(text).unwrap_or_default()),
         statement,
+        token: token.map(Into::into),
         session,
         cancelled: CancellationToken::new(),
     })
 }
 
+/// What can stand among the fields of an engine's wire.
+fn is_plain(byte: u8) -> bool {
+    byte.is_ascii_graphic() && !matches!(byte, b',' | b'=')
+}
+
 /// A request's name: 16 hexadecimal digits, which go on to an engine as they are.
 fn id(txn: &str) -> Option<RequestId> {
     let digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -33,6 +33,8 @@
     pub timeout: Duration,
     pub rank: u8,
     pub statement: Bytes,
+    /// By what engines know a repeat of the request.
+    pub token: Option<Arc<str>>,
     /// Cancelled once it is given up, or its client has gone.
     pub cancelled: CancellationToken,
     /// It may not begin later: its time is over then, or engines no longer drop it as a repeat.
