Keep the order of requests that name a key, and hand the key on

Change: the field is read, bounded and handed on like `unique`; the module gets its hash, as on the simulator's wire; with several shards a request goes to the one that its key names.

Also: a session that loses its place while it ends goes on ending in order, on a farewell where one is left.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -13,7 +13,7 @@
 use parts::Part;
 use requests::{Open, Out};
 use sedgebeam_core::{
-    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, Held,
+    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, Held, Key,
     ListKind, Micros, Outcome, Published, Query, RequestId, Settings, TimerId,
 };
 use sedgebeam_operation::{Figures, figures};
@@ -441,7 +441,7 @@
             id,
             class: request.class,
             tenant,
-            key: None,
+            key: request.order_key.as_deref().map(Key::of),
             // Set when the gateway is told.
             remaining: Micros(0),
             work: request.work,
@@ -563,6 +563,7 @@
             rank: open.rank,
             statement: open.statement.clone(),
             token: open.token.clone(),
+            order_key: open.order_key.clone(),
             cancelled: open.cancelled.child_token(),
             starts_by: starts_by.map_or(now + timeout, |by| {
                 self.clock.instant(by).min(now + timeout)
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -26,6 +26,7 @@
     pub deadline: Instant,
     pub statement: Bytes,
     pub token: Option<Arc<str>>,
+    pub order_key: Option<Arc<str>>,
     /// Cancelled once its client has gone or called it off.
     pub cancelled: CancellationToken,
     pub rank: u8,
@@ -48,6 +49,7 @@
             deadline: request.deadline,
             statement: request.statement,
             token: request.token,
+            order_key: request.order_key,
             cancelled: request.cancelled,
             // The priority of what has none set.
             rank: 1,
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -75,6 +75,7 @@
         group: GroupId(0),
         statement: Bytes::from_static(b"INSERT"),
         token: None,
+        order_key: None,
         session: None,
         cancelled: CancellationToken::new(),
     }
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -91,6 +91,7 @@
             rank: 1,
             statement,
             token: None,
+            order_key: None,
             cancelled: self.cancelled.child_token(),
             starts_by: self.starts_by,
         };
--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -153,6 +153,7 @@
             group: GroupId(0),
             statement: "SELECT".into(),
             token: None,
+            order_key: None,
             session: Some(SessionKey(7)),
             cancelled: cancelled.clone(),
         };
--- a/dispatcher/tests/scenarios/fronts.rs
+++ b/dispatcher/tests/scenarios/fronts.rs
@@ -273,12 +273,12 @@
 fn the_word_by_which_engines_know_a_repeat_goes_on_with_every_attempt() {
     for client in ["c1", "f1"] {
         let mut stage = Stage::new(&["e1"]);
-        let text = "verb=lookup,txn=0000000000000001,limit=60000,unique=673ec3bd-5";
+        let text = "verb=lookup,txn=0000000000000001,limit=60000,item=rel-7,unique=673ec3bd-5";
         stage.play(&format!("{client} send text /* {text} */ SELECT 1"));
         for _ in 0..2 {
             let fetch = stage.hear("e1");
             let fields = fetch.split(' ').nth(2).expect("fields");
-            assert!(fields.ends_with(",token=673ec3bd-5"), "{fetch}");
+            assert!(fields.ends_with(",token=673ec3bd-5,obj=rel-7"), "{fetch}");
             stage.play("e1 send 1 BUSY");
         }
         stage.play(&format!(
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -256,6 +256,7 @@
             group: GroupId(id),
             statement: "SELECT".into(),
             token: None,
+            order_key: None,
             session: None,
             cancelled: CancellationToken::new(),
         };
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -421,15 +421,17 @@
 
     fn request<T>(&self, message: T) -> Request<T> {
         let mut request = Request::new(message);
-        let token = self.attempt.token.as_ref();
         let fields = [
             ("txn", format!("{:016x}", self.attempt.request.0)),
             ("kind", self.attempt.class.to_string()),
             ("rank", self.attempt.rank.to_string()),
             ("ms", self.attempt.timeout.as_millis().max(1).to_string()),
         ];
-        let token = token.map(|token| ("token", token.to_string()));
-        for (name, value) in fields.into_iter().chain(token) {
+        let words = self
+            .attempt
+            .words()
+            .map(|(name, word)| (name, word.to_string()));
+        for (name, value) in fields.into_iter().chain(words) {
             // A class whose name no header can hold goes without it.
             if let Ok(value) = value.parse() {
                 request.metadata_mut().insert(name, value);
--- a/engines/src/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -103,9 +103,8 @@
             Command::Fetch(attempt) => {
                 let wait = attempt.timeout.as_millis().max(1);
                 let mut fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
-                if let Some(token) = &attempt.token {
-                    fields.push_str(",token=");
-                    fields.push_str(token);
+                for (name, word) in attempt.words() {
+                    fields.push_str(&format!(",{name}={word}"));
                 }
                 let id = hex(attempt.request);
                 put(
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -96,10 +96,14 @@
             }
             // It is the first to give way to a newcomer now.
             session.place.stand(Standing::Stranger);
+            let mut closed = std::pin::pin!(farewell(session.wire));
             tokio::select! {
                 biased;
+                () = &mut closed => return,
                 () = gives_way.cancelled() => {}
-                () = farewell(session.wire) => {}
+            }
+            if let Some(_farewell) = serving.farewell() {
+                closed.await;
             }
         }
     }
--- a/fronts/src/statement.rs
+++ b/fronts/src/statement.rs
@@ -22,8 +22,8 @@
 /// A client waits at most this many times as long as its class is worth waiting for.
 const MOST_PATIENCE: f64 = 2.0;
 
-/// The longest word by which engines know a repeat.
-const MOST_TOKEN: usize = 128;
+/// The longest word that is handed on to engines as it came.
+const MOST_WORD: usize = 128;
 
 /// What is wrong with a statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -92,11 +92,11 @@
     let class = field("verb").and_then(|verb| names.class(verb));
     let class = class.ok_or_else(|| unusable("verb"))?;
     let longest = names.give_up.get(class.0).copied().unwrap_or_default();
-    let token = field("unique");
-    let fits = |token: &str| (1..=MOST_TOKEN).contains(&token.len()) && token.bytes().all(is_plain);
-    if !token.is_none_or(fits) {
-        return Err(unusable("unique"));
-    }
+    let fits = |word: &str| (1..=MOST_WORD).contains(&word.len()) && word.bytes().all(is_plain);
+    let word = |name: &str| match field(name) {
+        Some(word) if !fits(word) => Err(unusable(name)),
+        word => Ok(word.map(Into::into)),
+    };
     let limit = number("limit", millis(longest) * MOST_PATIENCE)?;
     if limit == 0.0 {
         return Err(unusable("limit"));
@@ -110,7 +110,8 @@
         memory_mb: number("memory", MOST_MEMORY_MB)?,
         group: GroupId(group(text).unwrap_or_default()),
         statement,
-        token: token.map(Into::into),
+        token: word("unique")?,
+        order_key: word("item")?,
         session,
         cancelled: CancellationToken::new(),
     })
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -10,7 +10,7 @@
     Answer, Asked, BrokerBox, Denied, Failure, Listing, NewRequest, Pending, SessionKey, Target,
     ToBroker, Told,
 };
-use sedgebeam_core::{Effect, Held, Micros, RequestId, Tenant, mix};
+use sedgebeam_core::{Effect, Held, Key, Micros, RequestId, Tenant, mix};
 use sedgebeam_operation::Figures;
 use sedgebeam_retune::{Table, Tuning};
 use std::collections::HashMap;
@@ -164,13 +164,16 @@
         }
     }
 
-    /// The mailbox for a request: of the shard that its id names, or of another while that one is silent.
-    fn mailbox_for(&self, id: RequestId) -> Option<BrokerBox> {
+    /// The mailbox for a request: of the shard that its id names, or its key, as requests of one key keep their order; or of
+    /// another while that one is silent.
+    fn mailbox_for(&self, request: &NewRequest) -> Option<BrokerBox> {
         let shards = self.slots().len() as u64;
         if shards == 1 {
             return self.mailbox(0);
         }
-        let draw = |turn: u64| (mix(id.0 ^ mix(self.shared.seed ^ turn)) % shards) as usize;
+        let key = request.order_key.as_deref().map(Key::of);
+        let name = key.map_or(request.id.0, |key| key.0);
+        let draw = |turn: u64| (mix(name ^ mix(self.shared.seed ^ turn)) % shards) as usize;
         let mut living = (0..4 * shards).map(draw).filter(|shard| self.lives(*shard));
         let living = living.find_map(|shard| self.mailbox(shard));
         living.or_else(|| self.mailbox(draw(0)))
@@ -188,7 +191,7 @@
             _ => Answer::Failed(Failure::Ending),
         };
         let running = class.map(|class| self.shared.figures.take(&class.name));
-        let mailbox = self.mailbox_for(request.id);
+        let mailbox = self.mailbox_for(&request);
         let under_way = mailbox.as_ref();
         let under_way =
             under_way.and_then(|broker| UnderWay::new(&self.shared.sessions, &request, broker));
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -35,6 +35,8 @@
     pub statement: Bytes,
     /// By what engines know a repeat of the request.
     pub token: Option<Arc<str>>,
+    /// Whose order the request keeps.
+    pub order_key: Option<Arc<str>>,
     /// Cancelled once it is given up, or its client has gone.
     pub cancelled: CancellationToken,
     /// It may not begin later: its time is over then, or engines no longer drop it as a repeat.
@@ -42,6 +44,14 @@
 }
 
 impl Attempt {
+    /// What its client gave for engines to read, by the names of their wires.
+    pub fn words(&self) -> impl Iterator<Item = (&'static str, &str)> {
+        let words = [("token", &self.token), ("obj", &self.order_key)];
+        words
+            .into_iter()
+            .filter_map(|(name, word)| Some((name, word.as_deref()?)))
+    }
+
     /// Whether nothing of it may be written any more: asked where it is, at the moment of its first byte. It may
     /// have waited there for its connection, or behind what the engine does not read.
     pub fn is_void(&self) -> bool {
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -25,6 +25,8 @@
     pub statement: Bytes,
     /// By what engines know a repeat of it, where its class is keyed; handed on as it came.
     pub token: Option<Arc<str>>,
+    /// Requests of one key run in the order in which they came, where their class keeps it; handed on as it came.
+    pub order_key: Option<Arc<str>>,
     /// The session that a cancel names, where the wire has such.
     pub session: Option<SessionKey>,
     /// Cancelled once its client has gone or called it off: from then on nothing of it is sent, however many
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -268,12 +268,6 @@
         .map_err(|_| format!("request id {text:?} is not hexadecimal"))
 }
 
-/// Numbers a key (FNV-1a). Two keys with one number would only wait for each other.
-fn key(text: &str) -> Key {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    Key(text.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
-
 fn outcome(text: &str) -> Result<Outcome, String> {
     Ok(match text {
         "OK" => Outcome::Ok,
@@ -327,7 +321,7 @@
             id: request(&self.req)?,
             class: class.ok_or_else(|| format!("unknown class {:?}", self.band))?,
             tenant: self.account.and_then(|account| names.tenant(&account)),
-            key: self.order_key.as_deref().map(key),
+            key: self.order_key.as_deref().map(Key::of),
             remaining: micros(self.remaining),
             work: match self.opts & 1 {
                 1 => micros(self.estimate),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,14 @@
     TimerId(u64);
 }
 
+impl Key {
+    /// The key of this name: the same at every gateway.
+    pub fn of(name: &str) -> Key {
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        Key(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+    }
+}
+
 /// What may happen to a request of a class when it is sent more than once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
