--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -415,8 +415,6 @@
         bench.send();
         bench.broker.client_left(ID, Failure::Cancelled);
         bench.broker.call_off(ID, FIRST, Instant::now());
-        // The gateway sends once more in the batch in which it is told, which notes the request as over again.
-        bench.send();
         bench.broker.batch(Instant::now());
         let (reply, mut answer) = oneshot::channel();
         let again = NewRequest {
@@ -437,3 +435,30 @@
         assert!(bench.broker.is_out(ENGINE, ID, FIRST));
     });
 }
+
+/// The gateway sends in the batch in which it also hears that the client has left: that notes the request as over once more,
+/// after those that were over have been taken out.
+#[test]
+fn a_request_is_noted_as_over_once() {
+    inside(|| {
+        let (mut broker, _own, _incoming) = new(setup());
+        let up = Target {
+            uid: "s-1".to_string(),
+            endpoint: "127.0.0.1:1".to_string(),
+            state: "up".to_string(),
+            ..Target::default()
+        };
+        broker.take(ToBroker::List(Listing::Complete, vec![up]));
+        let (reply, _gone) = oneshot::channel();
+        broker.submit(request(), reply);
+        broker.client_left(ID, Failure::Cancelled);
+        broker.batch(Instant::now());
+        let (reply, mut again) = oneshot::channel();
+        broker.submit(request(), reply);
+        broker.batch(Instant::now());
+        assert_eq!(
+            again.try_recv().err(),
+            Some(oneshot::error::TryRecvError::Empty)
+        );
+    });
+}
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -245,6 +245,10 @@
     }
 
     async fn submit(&self, id: u64) -> Pending {
+        self.submit_of(id, None).await
+    }
+
+    async fn submit_of(&self, id: u64, key: Option<&str>) -> Pending {
         let request = NewRequest {
             id: RequestId(id),
             class: ClassId(class(id)),
@@ -256,7 +260,7 @@
             group: GroupId(id),
             statement: "SELECT".into(),
             token: None,
-            order_key: None,
+            order_key: key.map(Into::into),
             session: None,
             cancelled: CancellationToken::new(),
         };
@@ -440,3 +444,17 @@
         assert!(matches!(unknown, Err(Denied::Unknown(_))));
     });
 }
+
+/// A shard keeps the order of a key for itself alone.
+#[test]
+fn requests_of_one_key_go_to_one_shard() {
+    block_on(async {
+        let mut bench = Bench::new().await;
+        let (mut pending, mut workers) = (Vec::new(), HashSet::new());
+        for id in 1..9 {
+            pending.push(bench.submit_of(id, Some("rel-7")).await);
+            workers.insert(bench.sent().await.worker);
+        }
+        assert_eq!(workers.len(), 1, "{workers:?}");
+    });
+}
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -174,6 +174,11 @@
         let key = request.order_key.as_deref().map(Key::of);
         let name = key.map_or(request.id.0, |key| key.0);
         let draw = |turn: u64| (mix(name ^ mix(self.shared.seed ^ turn)) % shards) as usize;
+        // Of one that keeps an order the shard is waited for as long as it is there: another knows nothing of those before.
+        let own = key.and_then(|_| self.mailbox(draw(0)));
+        if own.is_some() {
+            return own;
+        }
         let mut living = (0..4 * shards).map(draw).filter(|shard| self.lives(*shard));
         let living = living.find_map(|shard| self.mailbox(shard));
         living.or_else(|| self.mailbox(draw(0)))
