Say once what was written twice in the change, and take a probe's slot only where it connects

On rereading: Outgoing::withdraw went through its frames twice and now once; the refusal for want of a place stood in two functions; the bound on administration clients stood beside the part of the descriptors set apart for them; the number of an engine's name was worked out as Key::of does. A probe at a Flight SQL engine took a connection slot also where it used a connection that was there: now only for one of its own.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -830,8 +830,7 @@
 fn number_in(uid: &str) -> u64 {
     let told = uid.rsplit('-').next();
     let told = told.and_then(|hex| u64::from_str_radix(hex, 16).ok());
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    told.unwrap_or_else(|| uid.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+    told.unwrap_or_else(|| Key::of(uid).0)
 }
 
 /// Waits until another shard has let something go; for ever, where there is none.
--- a/dispatcher/src/admin.rs
+++ b/dispatcher/src/admin.rs
@@ -11,6 +11,7 @@
 //! | `GET /tenants` | the tenants and their shares |
 //! | `PUT /tenants/NAME` | sets its share, or adds it |
 
+use crate::descriptors::ADMINISTRATORS;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use miniserde::{Deserialize, Serialize, json};
@@ -24,8 +25,6 @@
 
 const MOST_HEAD: usize = 8 * 1024;
 const MOST_BODY: usize = 16 * 1024;
-/// Connections at once; more wait to be accepted.
-const MOST_CONNECTIONS: usize = 8;
 /// A connection on which nothing whole is asked for this long is closed: the places are few.
 const IDLE: Duration = Duration::from_millis(2500);
 
@@ -163,7 +162,7 @@
 
 /// Serves until the dispatcher ends.
 pub async fn serve(listener: TcpListener, desk: Desk, mut ending: watch::Receiver<bool>) {
-    let places = std::sync::Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    let places = std::sync::Arc::new(Semaphore::new(ADMINISTRATORS));
     loop {
         // The semaphore is never closed.
         let Ok(place) = places.clone().acquire_owned().await else {
--- a/dispatcher/src/descriptors.rs
+++ b/dispatcher/src/descriptors.rs
@@ -12,7 +12,7 @@
 const OWN: usize = 24;
 /// The poller and the waker of each further worker, and what it shares of signals.
 const OF_A_WORKER: usize = 3;
-/// Administration clients, where there are any.
+/// Administration clients at once, where there are any; more wait to be accepted.
 pub const ADMINISTRATORS: usize = 8;
 /// Clients take so much of what is left, and connections to engines the rest: the platform's clients hold a third of all, and
 /// hundreds of engines want a connection each.
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -301,14 +301,17 @@
         let limit = duration(self.settings().connect_timeout);
         let (slots, in_all) = (self.wires.slots.clone(), self.settings().in_all);
         tokio::spawn(async move {
-            let probe = match (channel, slots.take(in_all)) {
-                (Some(channel), _) => stats(channel, limit).await,
-                (None, Some(_slot)) => match open(endpoint, limit).await {
-                    Some(channel) => stats(channel, limit).await,
-                    None => Probe::ConnectFailed,
-                },
-                (None, None) => Probe::ConnectFailed,
+            // Only a connection of its own takes a slot, for as long as the probe lasts.
+            let slot = channel.is_none().then(|| slots.take(in_all));
+            let channel = match slot {
+                Some(Some(_)) => open(endpoint, limit).await,
+                _ => channel,
             };
+            let probe = match channel {
+                Some(channel) => stats(channel, limit).await,
+                None => Probe::ConnectFailed,
+            };
+            drop(slot);
             reports.tell(Report::Probed(probe)).await;
         });
     }
--- a/engines/src/resp/outgoing.rs
+++ b/engines/src/resp/outgoing.rs
@@ -50,20 +50,14 @@
 
     /// Takes out the attempts that may not begin any more.
     pub fn withdraw(&mut self) -> Vec<Named> {
-        let void = |frame: &Frame| frame.begins.as_ref().is_some_and(Attempt::is_void);
-        let named = |attempt: &Attempt| (attempt.request, attempt.number);
-        let withdrawn = self.frames.iter().filter(|frame| void(frame));
-        let withdrawn: Vec<Named> = withdrawn
-            .filter_map(|f| f.begins.as_ref().map(named))
-            .collect();
-        if !withdrawn.is_empty() {
-            self.frames.retain(|frame| {
-                !frame
-                    .begins
-                    .as_ref()
-                    .is_some_and(|a| withdrawn.contains(&named(a)))
-            });
-        }
+        let mut withdrawn = Vec::new();
+        self.frames.retain(|frame| match &frame.begins {
+            Some(attempt) if attempt.is_void() => {
+                withdrawn.push((attempt.request, attempt.number));
+                false
+            }
+            _ => true,
+        });
         withdrawn
     }
 
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -119,7 +119,7 @@
 /// Refuses a connection. It may have come to cancel what another session has under way, and for that needs no place.
 pub async fn turn_away(stream: TcpStream, shared: &Shared, why: Away) {
     let told = match why {
-        Away::NoPlace => refusal("53300", "there are too many sessions; nothing ran"),
+        Away::NoPlace => no_place(),
         Away::Draining => draining(),
     };
     // No statement is read with this one.
@@ -163,6 +163,10 @@
     }
 }
 
+fn no_place() -> Error {
+    refusal("53300", "there are too many sessions; nothing ran")
+}
+
 fn draining() -> Error {
     refusal("57P03", "this dispatcher takes no more work; nothing ran")
 }
@@ -257,7 +261,7 @@
             match self.wire.next().now_or_never().flatten() {
                 Some(Ok(Said::Query(text))) if !is_empty(&text) => {
                     // As above.
-                    let _ = self.no_place().await;
+                    let _ = self.say(Say::Error(no_place())).await;
                     break;
                 }
                 Some(Ok(_)) => {}
@@ -267,11 +271,6 @@
         farewell(self.wire).await;
     }
 
-    async fn no_place(&mut self) -> io::Result<()> {
-        let told = refusal("53300", "there are too many sessions; nothing ran");
-        self.say(Say::Error(told)).await
-    }
-
     /// Says something short, and waits until the client has taken it.
     async fn say(&mut self, say: Say) -> io::Result<()> {
         timeout(TAKES, self.wire.send(say)).await.map_err(late)?
@@ -334,7 +333,7 @@
             Ok(request) => {
                 // One that must give way at this moment has sent nothing on.
                 if !self.place.stand(Standing::Busy) {
-                    self.no_place().await?;
+                    self.say(Say::Error(no_place())).await?;
                     return Ok(false);
                 }
                 let pending = self.shared.desk.submit(request).await;
