Cut the import cycle among parts, policy, scale and state of the decision module

Seen: parts used policy (Gateway, OWN_EXCESS), policy used parts, scale and state, scale used policy (OWN_EXCESS), and state used parts (EngineShare). Cause: parts.rs held both the records that shards exchange and the gateway's methods that fill and read them; a constant that scale and policy both need stood in policy. The `use`s now go interface <- parts <- state, interface <- scale, and all of them <- policy <- sharding.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 mod repeats;
 mod retune;
 mod scale;
+mod sharding;
 mod state;
 mod warming;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::*;
 use crate::parts::Elsewhere;
-use crate::scale::{THREADS_PER_CORE, shares};
+use crate::scale::{OWN_EXCESS, THREADS_PER_CORE, shares};
 use crate::state::*;
 use sedgebeam_fleet::{Multiple, Rests, STRIKES, asking};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,8 +16,6 @@
 pub const CREDIT_CAP: f64 = 4.0;
 /// A draw that holds less than this part of the heaviest waiting one's thread time is light.
 const LIGHT_DRAW: f64 = 0.25;
-/// Own threads beyond this multiple of the budget are pressure by themselves: the signs come late.
-pub(crate) const OWN_EXCESS: f64 = 2.0;
 /// Slower than usual by this factor is pressure.
 const PRESSED: f64 = 1.5;
 /// An answer that took this many times what its work takes alone tells of a crowd.
--- a/src/scale.rs
+++ b/src/scale.rs
@@ -1,12 +1,13 @@
 //! What follows from the settings alone: the size of the fleet against that of its queries.
 
 use crate::interface::{Class, Settings, Tenant};
-use crate::policy::OWN_EXCESS;
 use sedgebeam_fleet::cold::Warming;
 use sedgebeam_fleet::{Multiple, Rests};
 
 /// Threads out a core, over all gateways, that an engine under pressure gets (DESIGN).
 pub(crate) const THREADS_PER_CORE: f64 = 2.0;
+/// Own threads beyond this multiple of the budget are pressure by themselves: the signs come late.
+pub(crate) const OWN_EXCESS: f64 = 2.0;
 /// Least multiple of its part that a gateway may have out: enough to hear when a crowd is over.
 const LEAST_PART: f64 = 0.25;
 /// Most multiple of all.
