Split the simulation of fleets by concern, with typed events and standard names

Change: one module for each concern, of 22 to 263 lines: events (queue, typed events), simulation (clock), gateways, actions, engines, clients, fault_injection, requests, metrics, rules, gateway_logic, faulty_gateway, engine_model with its arrivals; the model's tests are in a test file. Engine and zone ids are typed. The numbers of scheduled events and of requests still come from one counter and random draws keep their order, so a seed names the same run.

--- a/virtual/src/deployment.rs
+++ b/virtual/src/deployment.rs
@@ -1,17 +1,16 @@
 //! Deployments: how many gateways and engines, what is asked of them, and by which settings.
 
-use crate::engine::{CORES, MEMORY_MB};
+use crate::engine_model::{CORES, MEMORY_MB};
 use sedgebeam_core::{Class, Effect, Group, Kind, Micros, Reports, Settings, Tenant, ZoneId};
 
 /// What the queries of a class are like.
 #[derive(Clone, Copy, Debug)]
-pub struct Work {
+pub struct QueryProfile {
     /// Mean work, in core seconds.
-    pub seconds: f64,
-    /// Mean memory needed.
-    pub memory_mb: f64,
-    /// Part of all work that is of this class.
-    pub part: f64,
+    pub mean_work: f64,
+    pub mean_memory_mb: f64,
+    /// Share of the traffic's work that is of this class.
+    pub work_share: f64,
 }
 
 /// One deployment. Its settings lack a gateway's own number and zone.
@@ -21,9 +20,9 @@
     pub engines: u64,
     pub zones: usize,
     /// By class.
-    pub work: Vec<Work>,
-    /// Part of all engines' cores that traffic asks for.
-    pub asked: f64,
+    pub profiles: Vec<QueryProfile>,
+    /// Offered load, as a share of all engines' cores.
+    pub offered_load: f64,
     pub settings: Settings,
 }
 
@@ -45,7 +44,7 @@
 
 impl Deployment {
     /// Light, heavy and once-only classes, three tenants and three zones, engines that page.
-    pub fn usual(gateways: u32, engines: u64) -> Deployment {
+    pub fn standard(gateways: u32, engines: u64) -> Deployment {
         let load = Class {
             effect: Effect::Once,
             holds_group: true,
@@ -55,10 +54,10 @@
             waits_for_load: true,
             ..class("heavy", 12.0, 4.0, 2000, 10000)
         };
-        let work = |seconds, memory_mb, part| Work {
-            seconds,
-            memory_mb,
-            part,
+        let profile = |mean_work, mean_memory_mb, work_share| QueryProfile {
+            mean_work,
+            mean_memory_mb,
+            work_share,
         };
         let tenant = |name: &str, share: f64| Tenant {
             name: name.to_string(),
@@ -87,82 +86,101 @@
             tick: ms(5),
             ..Settings::default()
         };
-        let work = vec![
-            work(0.08, 10.0, 0.25),
-            work(4.0, 900.0, 0.55),
-            work(2.4, 300.0, 0.2),
+        let profiles = vec![
+            profile(0.08, 10.0, 0.25),
+            profile(4.0, 900.0, 0.55),
+            profile(2.4, 300.0, 0.2),
         ];
         Deployment {
             gateways,
             engines,
             zones: 3,
-            work,
-            asked: 0.55,
+            profiles,
+            offered_load: 0.55,
             settings,
         }
         .with_allowances()
     }
 
-    /// Has traffic ask for this part of the engines' cores.
-    pub fn ask(&mut self, asked: f64) {
-        self.asked = asked;
-        *self = self.clone().with_allowances();
+    /// Sets the offered load, as a share of all engines' cores.
+    pub fn set_offered_load(&mut self, offered_load: f64) {
+        self.offered_load = offered_load;
+        self.update_allowances();
     }
 
-    /// Tells tenants' allowances as those of the traffic.
-    fn with_allowances(mut self) -> Deployment {
-        let rate: f64 = (0..self.work.len()).map(|class| self.rate(class)).sum();
+    /// Sets tenants' allowances to what they send.
+    fn update_allowances(&mut self) {
+        let rate: f64 = self.rates().sum();
         for tenant in &mut self.settings.tenants {
             tenant.per_second = rate * tenant.share;
         }
+    }
+
+    fn with_allowances(mut self) -> Deployment {
+        self.update_allowances();
         self
     }
 
     /// Light queries alone.
-    pub fn one_class(gateways: u32, engines: u64) -> Deployment {
-        let mut other = Deployment::usual(gateways, engines);
-        other.settings.classes.truncate(1);
-        other.work.truncate(1);
-        other.work[0].part = 1.0;
-        other.with_allowances()
+    pub fn single_class(gateways: u32, engines: u64) -> Deployment {
+        let mut deployment = Deployment::standard(gateways, engines);
+        deployment.settings.classes.truncate(1);
+        deployment.profiles.truncate(1);
+        deployment.profiles[0].work_share = 1.0;
+        deployment.with_allowances()
     }
 
-    /// No tenants, no zones, no priorities, no notes: the least that settings may tell.
-    pub fn bare(gateways: u32, engines: u64) -> Deployment {
-        let mut other = Deployment::usual(gateways, engines);
-        other.zones = 1;
-        other.settings.tenants.clear();
-        other.settings.takes_priorities = false;
-        other.settings.note_every = Micros(0);
-        other
+    /// No tenants, zones, priorities or notes: the least that settings may hold.
+    pub fn minimal(gateways: u32, engines: u64) -> Deployment {
+        let mut deployment = Deployment::standard(gateways, engines);
+        deployment.zones = 1;
+        deployment.settings.tenants.clear();
+        deployment.settings.takes_priorities = false;
+        deployment.settings.note_every = Micros(0);
+        deployment
     }
 
     /// Load reports, by probes that are free or in answers.
-    pub fn reporting(gateways: u32, engines: u64, reports: Reports) -> Deployment {
-        let mut other = Deployment::usual(gateways, engines);
-        other.settings.reports = reports;
-        other.settings.may_probe = reports == Reports::InProbes;
-        other
+    pub fn with_load_reports(gateways: u32, engines: u64, reports: Reports) -> Deployment {
+        let mut deployment = Deployment::standard(gateways, engines);
+        deployment.settings.reports = reports;
+        deployment.settings.may_probe = reports == Reports::InProbes;
+        deployment
     }
 
     /// Heavy queries whose repeats their zone drops.
-    pub fn keyed(gateways: u32, engines: u64) -> Deployment {
-        let mut other = Deployment::usual(gateways, engines);
-        other.settings.classes[1].effect = Effect::Keyed(Group::Zone);
-        other
+    pub fn with_deduplication(gateways: u32, engines: u64) -> Deployment {
+        let mut deployment = Deployment::standard(gateways, engines);
+        deployment.settings.classes[1].effect = Effect::Keyed(Group::Zone);
+        deployment
     }
 
     /// Requests a second of a class, over all gateways.
     pub fn rate(&self, class: usize) -> f64 {
-        let work = self.work[class];
-        self.asked * self.engines as f64 * CORES * work.part / work.seconds
+        let profile = self.profiles[class];
+        let offered_cores = self.offered_load * self.engines as f64 * CORES;
+        offered_cores * profile.work_share / profile.mean_work
+    }
+
+    /// The same of each class.
+    fn rates(&self) -> impl Iterator<Item = f64> {
+        (0..self.profiles.len()).map(|class| self.rate(class))
+    }
+
+    /// Core seconds of the mean request.
+    pub(crate) fn mean_work(&self) -> f64 {
+        let profiles = self.profiles.iter().zip(self.rates());
+        let work: f64 = profiles
+            .map(|(profile, rate)| profile.mean_work * rate)
+            .sum();
+        work / self.rates().sum::<f64>().max(1e-9)
     }
 
     /// The settings of one gateway.
-    pub fn settings_of(&self, me: u32) -> Settings {
+    pub fn settings_of(&self, number: u32) -> Settings {
         Settings {
-            me: Some(me),
-            zone: Some(self.zone(u64::from(me))),
+            me: Some(number),
+            zone: Some(self.zone(u64::from(number))),
             ..self.settings.clone()
         }
     }
--- /dev/null
+++ b/virtual/src/fault_injection.rs
@@ -0,0 +1,137 @@
+//! Injects the faults of a script.
+
+use crate::engine_model::Impairment;
+use crate::events::ScheduledEvent;
+use crate::faults::Fault;
+use crate::simulation::Simulation;
+use rand::Rng;
+use sedgebeam_core::{EngineId, Micros, Outcome, RequestId, ZoneId};
+
+/// An engine that is replaced drains for so long before it is gone.
+const DRAIN_DURATION: Micros = Micros::from_millis(4000);
+
+impl Simulation {
+    pub(crate) fn inject(&mut self, fault: Fault) {
+        match fault {
+            Fault::ReplaceEngines { share } => self.replace_engines(share),
+            Fault::DrainEngines { share } => {
+                let engines = self.oldest_engines(share);
+                self.drain_engines(&engines);
+            }
+            Fault::ImpairEngines { share, impairment } => self.impair_engines(share, impairment),
+            Fault::ZoneOutage { zone, duration } => self.stop_zone(zone, duration),
+            Fault::ZonePartition { zone, duration } => self.partition_zone(zone, duration),
+            Fault::RestartGateways { from, to, downtime } => {
+                self.restart_gateways(from, to, downtime);
+            }
+            Fault::ResetConnections { share } => self.reset_connections(share),
+            Fault::Traffic { multiple } => self.traffic.multiple = multiple,
+            Fault::ReloadSettings { gateways } => self.reload_settings(gateways),
+        }
+    }
+
+    /// A share of the engines that take new work. The oldest first: who is replaced is not who has just come.
+    fn oldest_engines(&self, share: f64) -> Vec<EngineId> {
+        let engines = self.engines.values();
+        let mut serving: Vec<_> = engines
+            .filter(|engine| !engine.removed && !engine.draining)
+            .collect();
+        serving.sort_by_key(|engine| (engine.started_at, engine.id));
+        let count = (share * self.deployment.engines as f64).round() as usize;
+        let oldest = serving.into_iter().take(count);
+        oldest.map(|engine| engine.id).collect()
+    }
+
+    fn replace_engines(&mut self, share: f64) {
+        let old = self.oldest_engines(share);
+        let new: Vec<EngineId> = old.iter().map(|_| self.start_engine(self.now)).collect();
+        self.drain_engines(&old);
+        self.announce_engines(&new);
+        let removed_at = self.now + DRAIN_DURATION;
+        self.schedule(removed_at, ScheduledEvent::EnginesRemoved(old));
+    }
+
+    fn drain_engines(&mut self, ids: &[EngineId]) {
+        for id in ids {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.draining = true;
+            }
+        }
+        self.announce_engines(ids);
+    }
+
+    /// Removes engines; what still ran there is lost.
+    pub(crate) fn remove_engines(&mut self, ids: &[EngineId]) {
+        let mut lost = Vec::new();
+        for id in ids {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.removed = true;
+                lost.extend(std::mem::take(&mut engine.running));
+            }
+        }
+        self.reset_queries(lost);
+        self.announce_engines(ids);
+    }
+
+    fn impair_engines(&mut self, share: f64, impairment: Impairment) {
+        for id in self.oldest_engines(share) {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.impairment = impairment;
+            }
+        }
+    }
+
+    fn stop_zone(&mut self, zone: ZoneId, duration: Micros) {
+        let (now, back_at) = (self.now, self.now + duration);
+        let mut stopped = Vec::new();
+        let mut lost = Vec::new();
+        for engine in self.engines.values_mut() {
+            if engine.zone == zone && !engine.removed {
+                stopped.push(engine.id);
+                lost.extend(engine.restart(now, back_at));
+            }
+        }
+        self.reset_queries(lost);
+        // The list tells of the restart some time after it.
+        self.announce_engines(&stopped);
+    }
+
+    fn partition_zone(&mut self, zone: ZoneId, duration: Micros) {
+        let heals_at = self.now + duration;
+        self.partitioned_zones.push(zone);
+        for gateway in self.gateways.iter_mut().filter(|node| node.zone == zone) {
+            gateway.list_delivered_until = gateway.list_delivered_until.max(heals_at);
+        }
+        self.schedule(heals_at, ScheduledEvent::PartitionHeals(zone));
+    }
+
+    fn restart_gateways(&mut self, from: f64, to: f64, downtime: Micros) {
+        let count = self.gateways.len() as f64;
+        let (first, end) = ((from * count).round(), (to * count).round());
+        for gateway in first as usize..end as usize {
+            self.stop_gateway(gateway);
+            let starts_at = self.now + downtime;
+            self.schedule(starts_at, ScheduledEvent::GatewayStarts(gateway));
+        }
+    }
+
+    fn reset_connections(&mut self, share: f64) {
+        let requests = self.requests.iter();
+        let in_flight: Vec<(RequestId, u32)> = requests
+            .filter_map(|(id, request)| Some((*id, request.in_flight.as_ref()?.number)))
+            .collect();
+        for (id, attempt) in in_flight {
+            if self.rng.random_bool(share) {
+                self.end_attempt(id, attempt, Outcome::Reset);
+            }
+        }
+    }
+
+    fn reload_settings(&mut self, gateways: u32) {
+        self.deployment.settings.gateways = gateways;
+        for (number, node) in self.gateways.iter_mut().enumerate() {
+            node.logic
+                .retune(self.deployment.settings_of(number as u32));
+        }
+    }
+}
--- a/virtual/src/faults.rs
+++ b/virtual/src/faults.rs
@@ -1,115 +1,148 @@
-//! What goes wrong, and when.
+//! Faults, and scripts of when they happen.
 
-use crate::engine::Ailment;
-use sedgebeam_core::Micros;
+use crate::engine_model::Impairment;
+use sedgebeam_core::{Micros, ZoneId};
 
-/// One thing that happens to the fleet. Parts are of all gateways or engines; which, follows from their numbers.
+/// One thing that happens to the fleet. Shares are of all gateways or engines; which ones follows from their age or
+/// number, but for connections, which are drawn.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
     /// Engines drain and, some seconds later, are gone; as many new ones start.
-    Replace { part: f64 },
+    ReplaceEngines { share: f64 },
     /// Engines drain and stay.
-    Drain { part: f64 },
-    /// Engines fall ill, until they are told to be well.
-    Ail { part: f64, ailment: Ailment },
+    DrainEngines { share: f64 },
+    /// Engines are impaired from now on.
+    ImpairEngines { share: f64, impairment: Impairment },
     /// A zone's engines stop; they are back, cold, after a while.
-    ZoneLost { zone: usize, lasts: Micros },
+    ZoneOutage { zone: ZoneId, duration: Micros },
     /// Nothing passes between a zone and the others, and its gateways hear of no change of the list.
-    ZoneCut { zone: usize, lasts: Micros },
-    /// Gateways from this part to that one stop at once and start anew after a while, knowing only the list.
-    Restart { from: f64, to: f64, away: Micros },
-    /// Connections break under this part of the attempts that are out.
-    Resets { part: f64 },
-    /// So many times the usual traffic.
-    Traffic { times: f64 },
-    /// New settings reach all gateways: they name so many.
-    Retune { gateways: u32 },
+    ZonePartition { zone: ZoneId, duration: Micros },
+    /// Gateways from this share to that one stop at once and start again after a while, knowing only the list.
+    RestartGateways {
+        from: f64,
+        to: f64,
+        downtime: Micros,
+    },
+    /// Connections break under this share of the attempts in flight.
+    ResetConnections { share: f64 },
+    /// So many times the usual traffic, from now on.
+    Traffic { multiple: f64 },
+    /// New settings reach all gateways: they name so many gateways.
+    ReloadSettings { gateways: u32 },
 }
 
-/// Faults by the time since the day's start.
+/// Faults by the time since the start.
 pub type Script = Vec<(Micros, Fault)>;
 
-fn ms(millis: u64) -> Micros {
-    Micros::from_millis(millis)
-}
-
-/// The kinds of day that have a script of their own.
-pub const KINDS: [&str; 11] = [
+/// The scenarios that [`scenario`] knows.
+pub const SCENARIOS: [&str; 11] = [
     "calm", "replaced", "rolled", "killed", "lost", "cut", "slow", "failing", "silent", "resets",
     "burst",
 ];
 
-/// What goes wrong on a day of this kind, after its first two seconds; `None` where there is no such kind.
-pub fn script(kind: &str) -> Option<Script> {
-    let once = |fault: Fault| vec![(ms(2000), fault)];
-    let lost = Fault::ZoneLost {
-        zone: 1,
-        lasts: ms(2000),
-    };
-    let cut = Fault::ZoneCut {
-        zone: 0,
-        lasts: ms(3000),
+/// When the single fault of a scenario happens.
+const FAULT_AT: Micros = Micros::from_millis(2000);
+/// Share of the engines that a scenario impairs.
+const IMPAIRED_SHARE: f64 = 0.125;
+
+fn ms(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+/// The script of a scenario; `None` where there is none of this name.
+pub fn scenario(name: &str) -> Option<Script> {
+    let once = |fault: Fault| vec![(FAULT_AT, fault)];
+    let impaired = |impairment: Impairment| {
+        once(Fault::ImpairEngines {
+            share: IMPAIRED_SHARE,
+            impairment,
+        })
     };
-    let ailing = |slow: f64, failing: f64, silent: bool| Fault::Ail {
-        part: 0.125,
-        ailment: Ailment {
-            slow,
-            failing,
-            silent,
-        },
+    let healthy = Impairment {
+        slowdown: 1.0,
+        ..Impairment::default()
     };
-    let resets = |n: u64| (ms(2000 + 500 * n), Fault::Resets { part: 0.3 });
-    Some(match kind {
+    Some(match name {
         "calm" => Script::new(),
         "replaced" => Fault::replacement(0.6, 4, 2000, 400),
         "rolled" => [
-            Fault::rolling(2000, 500),
+            Fault::rolling_restart(2000, 500),
             Fault::replacement(0.5, 5, 2500, 800),
         ]
         .concat(),
-        "killed" => once(Fault::Restart {
+        "killed" => once(Fault::RestartGateways {
             from: 0.0,
             to: 0.7,
-            away: ms(500),
+            downtime: ms(500),
+        }),
+        "lost" => once(Fault::ZoneOutage {
+            zone: ZoneId(1),
+            duration: ms(2000),
         }),
-        "lost" => once(lost),
-        "cut" => [once(cut), Fault::replacement(0.3, 3, 2500, 300)].concat(),
-        "slow" => once(ailing(8.0, 0.0, false)),
-        "failing" => once(ailing(1.0, 0.5, false)),
-        "silent" => once(ailing(1.0, 0.0, true)),
-        "resets" => (0..6).map(resets).collect(),
+        "cut" => [
+            once(Fault::ZonePartition {
+                zone: ZoneId(0),
+                duration: ms(3000),
+            }),
+            Fault::replacement(0.3, 3, 2500, 300),
+        ]
+        .concat(),
+        "slow" => impaired(Impairment {
+            slowdown: 8.0,
+            ..healthy
+        }),
+        "failing" => impaired(Impairment {
+            error_rate: 0.5,
+            ..healthy
+        }),
+        "silent" => impaired(Impairment {
+            silent: true,
+            ..healthy
+        }),
+        "resets" => Fault::repeated_resets(6, 0.3),
         "burst" => Fault::burst(2.0, 2000, 3000),
         _ => return None,
     })
 }
 
 impl Fault {
-    /// A part of the engines is replaced in steps.
-    pub fn replacement(part: f64, steps: u64, from: u64, every: u64) -> Script {
-        let step = Fault::Replace {
-            part: part / steps as f64,
+    /// A share of the engines is replaced in steps; times in milliseconds.
+    pub fn replacement(share: f64, steps: u64, from: u64, interval: u64) -> Script {
+        let step = Fault::ReplaceEngines {
+            share: share / steps as f64,
         };
-        (0..steps)
-            .map(|n| (ms(from + n * every), step.clone()))
-            .collect()
+        let times = (0..steps).map(|number| ms(from + number * interval));
+        times.map(|at| (at, step.clone())).collect()
     }
 
-    /// All gateways restart, a tenth at a time.
-    pub fn rolling(from: u64, every: u64) -> Script {
-        let tenth = |n: u64| {
-            let (from, to) = (n as f64 / 10.0, (n + 1) as f64 / 10.0);
-            Fault::Restart {
-                from,
-                to,
-                away: ms(300),
-            }
+    /// All gateways restart, a tenth at a time; times in milliseconds.
+    pub fn rolling_restart(from: u64, interval: u64) -> Script {
+        let tenth = |number: u64| Fault::RestartGateways {
+            from: number as f64 / 10.0,
+            to: (number + 1) as f64 / 10.0,
+            downtime: ms(300),
         };
-        (0..10).map(|n| (ms(from + n * every), tenth(n))).collect()
+        let tenths = 0..10;
+        tenths
+            .map(|number| (ms(from + number * interval), tenth(number)))
+            .collect()
     }
 
-    /// A burst of so many times the traffic.
-    pub fn burst(times: f64, from: u64, lasts: u64) -> Script {
-        let to = |times| Fault::Traffic { times };
-        vec![(ms(from), to(times)), (ms(from + lasts), to(1.0))]
+    /// So many times the traffic for a while; times in milliseconds.
+    pub fn burst(multiple: f64, from: u64, duration: u64) -> Script {
+        let traffic = |multiple| Fault::Traffic { multiple };
+        vec![
+            (ms(from), traffic(multiple)),
+            (ms(from + duration), traffic(1.0)),
+        ]
+    }
+
+    /// Connections break several times, half a second apart.
+    fn repeated_resets(count: u64, share: f64) -> Script {
+        let at = |number: u64| FAULT_AT + ms(500 * number);
+        let reset = Fault::ResetConnections { share };
+        (0..count)
+            .map(|number| (at(number), reset.clone()))
+            .collect()
     }
 }
--- a/virtual/src/lib.rs
+++ b/virtual/src/lib.rs
@@ -1,21 +1,32 @@
-//! A virtual fleet: many gateways of the decision module before the same engines, in virtual time.
+//! A simulated fleet: many gateways of the decision module before the same engines, in virtual time.
 //!
 //! What is harmless in one gateway may harm when hundreds do it, and no machine holds so many programs. Here the
 //! gateways are those of the product and all else is a model: engines that share their cores, page and warm up,
-//! lists that come late, clients that arrive whether or not they are answered, and faults by script. Checkers
-//! hold what is seen against the rules; each is caught by a double that breaks its rule. The same seed gives the
-//! same day.
+//! lists of engines that arrive late, clients that send whether or not they are answered, and scripted faults. What
+//! happens is checked against the [`Rule`]s; a [`FaultyGateway`] for each rule shows that its check works. The same
+//! seed gives the same run.
 
-mod check;
+mod actions;
+mod clients;
 mod deployment;
-mod doubles;
-mod engine;
+mod engine_model;
+mod engines;
+mod events;
+mod fault_injection;
 mod faults;
-mod world;
+mod faulty_gateway;
+mod gateway_logic;
+mod gateways;
+mod metrics;
+mod requests;
+mod rules;
+mod simulation;
 
-pub use check::{Rule, Tally, Verdict};
-pub use deployment::{Deployment, Work};
-pub use doubles::{Breaks, Decides, Double};
-pub use engine::{Ailment, CORES, MEMORY_MB};
-pub use faults::{Fault, KINDS, Script, script};
-pub use world::World;
+pub use deployment::{Deployment, QueryProfile};
+pub use engine_model::{CORES, Impairment, MEMORY_MB};
+pub use faults::{Fault, SCENARIOS, Script, scenario};
+pub use faulty_gateway::{Defect, FaultyGateway};
+pub use gateway_logic::GatewayLogic;
+pub use metrics::{ClassCounts, Metrics, RefusalCounts, WorthPerSecond};
+pub use rules::{Rule, Violation, Violations};
+pub use simulation::{GatewayFactory, Simulation};
--- /dev/null
+++ b/virtual/src/requests.rs
@@ -0,0 +1,49 @@
+//! Requests that have no final answer yet.
+
+use sedgebeam_core::{EngineId, GroupId, Micros};
+
+/// The attempt of a request that is under way.
+pub(crate) struct AttemptInFlight {
+    pub engine: EngineId,
+    pub number: u32,
+    pub sent_at: Micros,
+}
+
+/// A request without a final answer.
+pub(crate) struct OpenRequest {
+    pub gateway: usize,
+    /// The incarnation of its gateway that took it.
+    pub incarnation: u32,
+    pub class: usize,
+    pub arrived_at: Micros,
+    /// Core seconds that it really takes.
+    pub work: f64,
+    pub memory_mb: f64,
+    pub group: GroupId,
+    pub priority: usize,
+    pub in_flight: Option<AttemptInFlight>,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// An attempt that has ended may have run.
+    pub may_have_run: bool,
+}
+
+impl OpenRequest {
+    /// Begins the next attempt and returns its number.
+    pub fn begin_attempt(&mut self, engine: EngineId, now: Micros) -> u32 {
+        let number = self.attempts;
+        self.attempts += 1;
+        self.in_flight = Some(AttemptInFlight {
+            engine,
+            number,
+            sent_at: now,
+        });
+        number
+    }
+
+    /// Whether the attempt of this number is under way.
+    pub fn is_in_flight(&self, attempt: u32) -> bool {
+        let in_flight = self.in_flight.as_ref();
+        in_flight.is_some_and(|in_flight| in_flight.number == attempt)
+    }
+}
--- a/virtual/tests/days.rs
+++ b/virtual/tests/days.rs
@@ -1,5 +1,5 @@
-//! Days of whole fleets: each fault at several sizes and deployments, with all rules held against it, and a double
-//! for each rule.
+//! Simulations of whole fleets: each scenario at several sizes and deployments, checked against all rules, and a faulty
+//! gateway for each rule.
 
 use sedgebeam_core::{Gateway, Micros, Reports, Settings};
 use sedgebeam_virtual::*;
@@ -8,57 +8,66 @@
     Micros::from_millis(millis)
 }
 
-/// A day to its end: what holds on any day is checked.
-fn day(deployment: Deployment, kind: &str, seed: u64, lasts: u64) -> World {
-    let name = format!(
-        "{kind} {}/{} seed {seed}",
+/// Simulates a scenario to its end and checks what holds in all of them.
+fn simulate(deployment: Deployment, name: &str, seed: u64, millis: u64) -> Simulation {
+    let run = format!(
+        "{name} {}/{} seed {seed}",
         deployment.gateways, deployment.engines
     );
-    let mut world = World::new(deployment, seed, script(kind).expect("a kind"));
-    world.run(ms(lasts));
-    world.finish();
+    let mut simulation = Simulation::new(deployment, seed, scenario(name).expect("a scenario"));
+    simulation.run(ms(millis));
+    simulation.finish();
     assert!(
-        world.verdict.broken.is_empty(),
-        "{name}: {:?}",
-        world.verdict.broken
+        simulation.violations.is_empty(),
+        "{run}: {:?}",
+        simulation.violations
     );
-    assert_eq!(world.outstanding(), 0, "{name}");
-    for tally in &world.tallies {
+    assert_eq!(simulation.open_requests(), 0, "{run}");
+    for counts in &simulation.metrics.classes {
         assert_eq!(
-            tally.asked,
-            tally.ended(),
-            "{name}: each request has one end"
+            counts.arrived,
+            counts.ended(),
+            "{run}: each request has one end"
         );
     }
-    assert!(
-        world.amplification() < 1.2,
-        "{name}: {}",
-        world.amplification()
-    );
-    world
+    let attempts = simulation.metrics.attempts_per_request();
+    assert!(attempts < 1.2, "{run}: {attempts}");
+    simulation
 }
 
 #[test]
 fn few_gateways_keep_the_rules_on_every_kind_of_day() {
-    for (at, kind) in KINDS.into_iter().enumerate() {
-        let world = day(Deployment::usual(3, 7), kind, at as u64, 9000);
-        assert!(world.worth() > 0.5, "{kind}: {}", world.worth());
+    for (at, kind) in SCENARIOS.into_iter().enumerate() {
+        let simulation = simulate(Deployment::standard(3, 7), kind, at as u64, 9000);
+        assert!(
+            simulation.goodput() > 0.5,
+            "{kind}: {}",
+            simulation.goodput()
+        );
     }
 }
 
 #[test]
 fn a_hundred_gateways_keep_the_rules_on_every_kind_of_day() {
-    for (at, kind) in KINDS.into_iter().enumerate() {
-        let world = day(Deployment::usual(100, 30), kind, 50 + at as u64, 8000);
-        assert!(world.worth() > 0.4, "{kind}: {}", world.worth());
+    for (at, kind) in SCENARIOS.into_iter().enumerate() {
+        let simulation = simulate(Deployment::standard(100, 30), kind, 50 + at as u64, 8000);
+        assert!(
+            simulation.goodput() > 0.4,
+            "{kind}: {}",
+            simulation.goodput()
+        );
     }
 }
 
 #[test]
 fn three_hundred_gateways_keep_the_rules_when_engines_are_replaced_or_a_zone_is_lost() {
     for kind in ["replaced", "lost"] {
-        let world = day(Deployment::usual(300, 80), kind, 7, 6000);
-        assert!(world.worth() > 0.4, "{kind}: {}", world.worth());
+        let simulation = simulate(Deployment::standard(300, 80), kind, 7, 6000);
+        assert!(
+            simulation.goodput() > 0.4,
+            "{kind}: {}",
+            simulation.goodput()
+        );
     }
 }
 
@@ -78,54 +87,60 @@
     ];
     for (at, (gateways, engines)) in sizes.into_iter().enumerate() {
         for kind in ["rolled", "killed and replaced", "retuned"] {
-            let mut deployment = Deployment::usual(gateways, engines);
+            let mut deployment = Deployment::standard(gateways, engines);
             let new = Fault::replacement(0.9, 2, 2000, 1000);
             let script = match kind {
-                "rolled" => script("rolled").expect("a kind"),
+                "rolled" => scenario("rolled").expect("a scenario"),
                 "retuned" => {
                     deployment.settings.gateways *= 5;
-                    [new, vec![(ms(6000), Fault::Retune { gateways })]].concat()
+                    [new, vec![(ms(6000), Fault::ReloadSettings { gateways })]].concat()
                 }
                 _ => [
                     new,
                     vec![(
                         ms(3000),
-                        Fault::Restart {
+                        Fault::RestartGateways {
                             from: 0.0,
                             to: 0.7,
-                            away: ms(300),
+                            downtime: ms(300),
                         },
                     )],
                 ]
                 .concat(),
             };
-            let mut world = World::new(deployment, 20 + at as u64, script);
-            world.run(ms(9000));
-            let broken = &world.verdict.broken;
-            assert!(broken.is_empty(), "{gateways}/{engines} {kind}: {broken:?}");
-            assert_eq!(world.falls, 0, "{gateways}/{engines} {kind}");
+            let mut simulation = Simulation::new(deployment, 20 + at as u64, script);
+            simulation.run(ms(9000));
+            let violations = &simulation.violations;
+            assert!(
+                violations.is_empty(),
+                "{gateways}/{engines} {kind}: {violations:?}"
+            );
+            assert_eq!(
+                simulation.metrics.engine_crashes, 0,
+                "{gateways}/{engines} {kind}"
+            );
         }
     }
 }
 
 #[test]
 fn as_many_engines_as_gateways_or_more_gateways_than_engines_can_be() {
-    day(Deployment::usual(30, 7), "replaced", 3, 8000);
-    day(Deployment::usual(350, 300), "rolled", 4, 3500);
+    simulate(Deployment::standard(30, 7), "replaced", 3, 8000);
+    simulate(Deployment::standard(350, 300), "rolled", 4, 3500);
 }
 
 #[test]
 fn the_rules_hold_by_whatever_settings_tell() {
     let deployments: [Deployment; 5] = [
-        Deployment::one_class(60, 20),
-        Deployment::bare(60, 20),
-        Deployment::reporting(60, 20, Reports::InProbes),
-        Deployment::reporting(60, 20, Reports::InAnswers),
-        Deployment::keyed(60, 20),
+        Deployment::single_class(60, 20),
+        Deployment::minimal(60, 20),
+        Deployment::with_load_reports(60, 20, Reports::InProbes),
+        Deployment::with_load_reports(60, 20, Reports::InAnswers),
+        Deployment::with_deduplication(60, 20),
     ];
     for (at, deployment) in deployments.into_iter().enumerate() {
         for kind in ["rolled", "lost", "resets"] {
-            day(deployment.clone(), kind, 100 + at as u64, 7000);
+            simulate(deployment.clone(), kind, 100 + at as u64, 7000);
         }
     }
 }
@@ -134,28 +149,28 @@
 #[test]
 fn cold_engines_get_work_of_what_they_can_do() {
     for (gateways, engines) in [(3, 7), (30, 7), (30, 30), (100, 30), (100, 60)] {
-        let world = day(Deployment::usual(gateways, engines), "replaced", 9, 8000);
-        let used = world.cold_used();
+        let simulation = simulate(Deployment::standard(gateways, engines), "replaced", 9, 8000);
+        let used = simulation.metrics.cold_utilization();
         assert!(used > 0.1, "{gateways}/{engines}: {used}");
-        let classes = &world.cold_work;
+        let classes = &simulation.metrics.cold_work;
         assert!(
             gateways < 30 || classes.iter().all(|work| *work > 0.0),
             "{classes:?}"
         );
-        assert_eq!(world.falls, 0, "{gateways}/{engines}");
+        assert_eq!(simulation.metrics.engine_crashes, 0, "{gateways}/{engines}");
     }
 }
 
 /// After three seconds at 1.3 times what the engines can do, most is served again ten seconds later.
 #[test]
 fn a_burst_leaves_no_crowd_behind() {
-    let mut deployment = Deployment::usual(300, 80);
-    deployment.ask(0.65);
-    let world = day(deployment, "burst", 1, 20_000);
+    let mut deployment = Deployment::standard(300, 80);
+    deployment.set_offered_load(0.65);
+    let simulation = simulate(deployment, "burst", 1, 20_000);
     let served = |from: usize, to: usize| {
-        let seconds = &world.by_second[from..to];
-        let sum = |part: fn(&(f64, f64)) -> f64| seconds.iter().map(part).sum::<f64>();
-        sum(|second| second.1) / sum(|second| second.0)
+        let seconds = &simulation.metrics.per_second[from..to];
+        let sum = |part: fn(&WorthPerSecond) -> f64| seconds.iter().map(part).sum::<f64>();
+        sum(|second| second.served) / sum(|second| second.offered)
     };
     assert!(served(5, 10) > 0.8, "{} at first", served(5, 10));
     assert!(served(12, 20) > 0.95, "{} in the end", served(12, 20));
@@ -164,38 +179,43 @@
 #[test]
 fn the_same_seed_gives_the_same_day() {
     let play = |seed| {
-        let world = day(Deployment::usual(10, 7), "rolled", seed, 5000);
-        world.tallies
+        let simulation = simulate(Deployment::standard(10, 7), "rolled", seed, 5000);
+        simulation.metrics.classes
     };
     assert_eq!(play(5), play(5));
     assert_ne!(play(5), play(6));
 }
 
-/// Each checker sees the double that breaks its rule, on a day of the kind that shows it.
+/// Each check notices the gateway that violates its rule, in a scenario that shows it.
 #[test]
-fn doubles_are_caught() {
-    for (breaks, rule, kind) in [
-        (Breaks::AnswersTwice, Rule::OneAnswer, "burst"),
-        (Breaks::SaysNothing, Rule::Answered, "burst"),
-        (Breaks::SendsTwice, Rule::OneOut, "burst"),
-        (Breaks::RepeatsLoads, Rule::OnceOnly, "resets"),
-        (Breaks::KeepsDrained, Rule::Drained, "replaced"),
-        (Breaks::PushesCold, Rule::ColdLoad, "replaced"),
+fn faulty_gateways_are_caught() {
+    for (defect, rule, name) in [
+        (Defect::AnswersTwice, Rule::SingleAnswer, "burst"),
+        (Defect::NeverAnswers, Rule::AnswerInTime, "burst"),
+        (Defect::SendsTwice, Rule::SingleAttemptInFlight, "burst"),
+        (Defect::RetriesLoads, Rule::NoUnsafeRetry, "resets"),
+        (Defect::SendsToDraining, Rule::NoSendAfterDrain, "replaced"),
+        (
+            Defect::OverloadsColdEngine,
+            Rule::NoColdOverload,
+            "replaced",
+        ),
     ] {
-        let make =
-            move |settings, seed| Box::new(Double::new(settings, seed, breaks)) as Box<dyn Decides>;
-        let mut world = World::of(
-            Deployment::usual(12, 7),
+        let make = move |settings, seed| {
+            Box::new(FaultyGateway::new(settings, seed, defect)) as Box<dyn GatewayLogic>
+        };
+        let mut simulation = Simulation::with_gateways(
+            Deployment::standard(12, 7),
             2,
-            script(kind).expect("a kind"),
+            scenario(name).expect("a scenario"),
             Box::new(make),
         );
-        world.run(ms(7000));
-        world.finish();
+        simulation.run(ms(7000));
+        simulation.finish();
         assert!(
-            world.verdict.broke(rule),
-            "{breaks:?}: {:?}",
-            world.verdict.broken
+            simulation.violations.contains(rule),
+            "{defect:?}: {:?}",
+            simulation.violations
         );
     }
 }
@@ -209,16 +229,17 @@
         warm_after: ms(1),
         ..settings
     };
-    let make =
-        move |settings, seed| Box::new(Gateway::new(alone(settings), seed)) as Box<dyn Decides>;
-    let script = script("replaced").expect("a kind");
-    let mut deployment = Deployment::usual(100, 10);
-    deployment.ask(5.0);
-    let mut world = World::of(deployment, 7, script, Box::new(make));
-    world.run(ms(6000));
+    let make = move |settings, seed| {
+        Box::new(Gateway::new(alone(settings), seed)) as Box<dyn GatewayLogic>
+    };
+    let script = scenario("replaced").expect("a scenario");
+    let mut deployment = Deployment::standard(100, 10);
+    deployment.set_offered_load(5.0);
+    let mut simulation = Simulation::with_gateways(deployment, 7, script, Box::new(make));
+    simulation.run(ms(6000));
     assert!(
-        world.verdict.broke(Rule::ColdLoad),
+        simulation.violations.contains(Rule::NoColdOverload),
         "{:?}",
-        world.verdict.broken
+        simulation.violations
     );
 }
