Split the dispatcher's serve and config by concern, and move the tests of config out

Seen: serve.rs (577 lines) held signals, start, listeners, sessions, Flight SQL, shared limits and the end; config.rs (604) held variables, files, keys, checks, defaults and its tests. Change: serve/ has signals, startup, listeners, sessions, flight, limits and shutdown; config/ has environment, file, keys, checks, limits, error and tests. Names of private items are usual ones (SharedKeys, OwnKeys, SharedLimits, Shutdown, faulty_key, MAX_... and MIN_...). Keys, defaults, the order in which faults are reported, log texts and the order in which tasks start are as before; the public names (Config, Environment, Wrong, load, load_text, Signals, Beside, run) stay, as other files use them.

--- /dev/null
+++ b/dispatcher/src/serve/flight.rs
@@ -0,0 +1,91 @@
+//! Serves Flight SQL clients, on the program's own thread or on the workers.
+
+use crate::crew::Crew;
+use futures::{Stream, StreamExt};
+use sedgebeam_fronts::{flight, incoming};
+use sedgebeam_port::supervise;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+/// Calls that one client may have under way.
+const MAX_CALLS: usize = 128;
+/// A client that answers no ping for as long again has gone.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+
+/// Serves clients until the end, and then what they have under way: on the program's own thread,
+/// or on the workers, to which connections are handed over.
+pub(super) fn serve_flight(
+    listener: TcpListener,
+    crew: &Arc<Crew>,
+    front: &flight::Front,
+    end: &watch::Sender<bool>,
+    alive: &mpsc::Sender<()>,
+    most: usize,
+) {
+    let accepted = incoming::accepted(listener, most);
+    if !crew.is_several() {
+        let placed = incoming::placed(accepted);
+        let serving = serve_connections(placed, front.clone(), end.subscribe(), alive.clone());
+        supervise::vital("the Flight SQL front", serving);
+        return;
+    }
+    let mut workers = Vec::new();
+    for worker in crew.workers() {
+        let (hand_over, taken) = mpsc::channel(most);
+        let taken = incoming::taken_over(taken);
+        let serving = serve_connections(taken, front.clone(), end.subscribe(), alive.clone());
+        worker.watch("the Flight SQL front of a worker", serving);
+        workers.push(hand_over);
+    }
+    let spreading = spread(accepted, crew.clone(), workers, end.subscribe());
+    supervise::vital("accepting Flight SQL clients", spreading);
+}
+
+/// Hands connections over to the workers until the end.
+async fn spread(
+    accepted: impl Stream<Item = incoming::Accepted>,
+    crew: Arc<Crew>,
+    workers: Vec<mpsc::Sender<incoming::HandedOver>>,
+    mut end: watch::Receiver<bool>,
+) {
+    let mut accepted = std::pin::pin!(accepted);
+    loop {
+        let next = tokio::select! {
+            next = accepted.next() => next,
+            _ = end.wait_for(|end| *end) => None,
+        };
+        let Some(connection) = next else { return };
+        let (place, _) = crew.place();
+        let handed = match incoming::HandedOver::new(connection) {
+            Ok(handed) => workers[place].try_send(handed).map_err(io::Error::other),
+            Err(error) => Err(error),
+        };
+        if let Err(error) = handed {
+            log::warn!("a Flight SQL client is not handed over: {error}");
+        }
+    }
+}
+
+/// Serves these connections until the end; counts as a session until then.
+async fn serve_connections(
+    connections: impl Stream<Item = io::Result<incoming::Placed>> + Send + 'static,
+    front: flight::Front,
+    mut end: watch::Receiver<bool>,
+    alive: mpsc::Sender<()>,
+) {
+    let served = tonic::transport::Server::builder()
+        .concurrency_limit_per_connection(MAX_CALLS)
+        .http2_keepalive_interval(Some(KEEPALIVE))
+        .add_service(front.service())
+        .serve_with_incoming_shutdown(connections, async move {
+            // A sender that is gone has ended too.
+            let _ = end.wait_for(|end| *end).await;
+        });
+    if let Err(error) = served.await {
+        log::error!("the Flight SQL front: {error}");
+    }
+    drop(alive);
+}
--- /dev/null
+++ b/dispatcher/src/serve/listeners.rs
@@ -0,0 +1,124 @@
+//! The listeners of clients and of the administration.
+
+use super::Program;
+use super::flight::serve_flight;
+use super::sessions::Sessions;
+use crate::{admin, passed};
+use futures::future::BoxFuture;
+use sedgebeam_fronts::places::Places;
+use sedgebeam_fronts::{Shared, flight, pg};
+use sedgebeam_port::supervise;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// Time between two tries for an address that another process has.
+const BIND_RETRY: Duration = Duration::from_millis(100);
+
+/// The opening of a listener.
+type Opening = BoxFuture<'static, io::Result<()>>;
+
+/// A listener there. Beside another process of this dispatcher, that one's is waited for.
+async fn bind(address: SocketAddr, wait_for_other: bool) -> io::Result<TcpListener> {
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if wait_for_other && error.kind() == io::ErrorKind::AddrInUse => {
+                sleep(BIND_RETRY).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
+impl Program {
+    /// Serves the fronts and the administration that the dispatcher's own file names. Where the clients' socket is passed
+    /// another process may hold their addresses still: they come up once it lets them go.
+    pub(super) async fn open_other_fronts(&self) -> io::Result<()> {
+        let flight = self.config.flight.map(|address| self.open_flight(address));
+        let admin = self.config.admin.map(|address| self.open_admin(address));
+        for opening in flight.into_iter().chain(admin) {
+            if !self.may_have_predecessor() {
+                opening.await?;
+                continue;
+            }
+            supervise::vital("a listener", async move {
+                if let Err(error) = opening.await {
+                    log::error!("a listener: {error}");
+                }
+            });
+        }
+        Ok(())
+    }
+
+    /// Another process of this dispatcher may still hold addresses of its listeners.
+    fn may_have_predecessor(&self) -> bool {
+        self.config.passed.is_some()
+    }
+
+    fn open_flight(&self, address: SocketAddr) -> Opening {
+        let shared = Shared {
+            desk: self.crew.desk.clone(),
+        };
+        let front = flight::Front::new(shared, self.config.seed);
+        let (crew, end, alive) = (self.crew.clone(), self.end.clone(), self.alive.downgrade());
+        let (name, most) = (self.config.name.clone(), self.config.descriptors.flight);
+        let wait_for_other = self.may_have_predecessor();
+        Box::pin(async move {
+            let listener = bind(address, wait_for_other).await?;
+            let address = listener.local_addr()?;
+            log::info!("{name} serves Flight SQL clients on {address}");
+            // Without a session left the program is ending.
+            if let Some(alive) = alive.upgrade() {
+                serve_flight(listener, &crew, &front, &end, &alive, most);
+            }
+            Ok(())
+        })
+    }
+
+    fn open_admin(&self, address: SocketAddr) -> Opening {
+        let (desk, end) = (self.crew.desk.clone(), self.end.subscribe());
+        let name = self.config.name.clone();
+        let wait_for_other = self.may_have_predecessor();
+        Box::pin(async move {
+            let listener = bind(address, wait_for_other).await?;
+            log::info!("{name} is administered on {}", listener.local_addr()?);
+            supervise::vital("the administration", admin::serve(listener, desk, end));
+            Ok(())
+        })
+    }
+
+    /// Accepts clients of the PostgreSQL protocol, as the drain allows; where, too.
+    pub(super) async fn accept_sessions(
+        &self,
+        places: Places,
+    ) -> io::Result<(JoinHandle<Option<()>>, SocketAddr)> {
+        let config = &self.config;
+        let listener = match config.passed {
+            Some(descriptor) => TcpListener::from_std(passed::listener(descriptor)?)?,
+            None => TcpListener::bind(config.listen).await?,
+        };
+        let address = listener.local_addr()?;
+        let began = self.clock.micros(Instant::now());
+        let shared = Shared {
+            desk: self.crew.desk.clone(),
+        };
+        let sessions = Sessions {
+            crew: self.crew.clone(),
+            serving: pg::Serving {
+                shared,
+                longest: config.message,
+                farewells: self.farewells.clone(),
+            },
+            staying: self.duty.staying(),
+            alive: self.alive.clone(),
+            places,
+            // Two processes of one dispatcher may have one seed, and a client's cancel may come to either.
+            last_key: sedgebeam_core::mix(config.seed ^ sedgebeam_core::mix(began.0)),
+        };
+        let accepting = sessions.accept(listener, self.duty.subscribe());
+        Ok((supervise::vital("accepting", accepting), address))
+    }
+}
--- /dev/null
+++ b/dispatcher/src/serve/sessions.rs
@@ -0,0 +1,122 @@
+//! Sessions of PostgreSQL clients: accepted here, and served on the workers.
+
+use crate::crew::Crew;
+use sedgebeam_fronts::leave::Staying;
+use sedgebeam_fronts::pg;
+use sedgebeam_fronts::places::Places;
+use sedgebeam_operation::{Newcomers, Orders};
+use sedgebeam_port::{SessionKey, supervise};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
+use tokio::time::sleep;
+
+/// A pause after an accept that failed, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Distance of the keys of sessions that follow on one another: an odd number, so that none comes twice soon.
+const KEY_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Accepts sessions and gives each to a worker.
+pub(super) struct Sessions {
+    pub crew: Arc<Crew>,
+    pub serving: pg::Serving,
+    pub staying: Staying,
+    pub alive: mpsc::Sender<()>,
+    pub places: Places,
+    /// The key of the last session; each next one is mixed from it.
+    pub last_key: u64,
+}
+
+impl Sessions {
+    /// Accepts connections as the drain allows, until the last call is over.
+    pub async fn accept(mut self, listener: TcpListener, mut orders: watch::Receiver<Orders>) {
+        loop {
+            let Orders {
+                newcomers, over, ..
+            } = *orders.borrow_and_update();
+            if over {
+                return;
+            }
+            let accepted = tokio::select! {
+                biased;
+                changed = orders.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return,
+                },
+                accepted = listener.accept(), if newcomers != Newcomers::Left => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) if newcomers == Newcomers::TurnedAway => {
+                    self.turn_away(stream, pg::Away::Draining);
+                }
+                Ok((stream, _)) => self.start(stream).await,
+                Err(error) => {
+                    log::warn!("accepting: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Refuses a connection with a word; where too many are being refused already, without one.
+    fn turn_away(&self, stream: TcpStream, why: pg::Away) {
+        let Some(farewell) = self.serving.farewell() else {
+            return;
+        };
+        let shared = self.serving.shared.clone();
+        supervise::watch(
+            "a farewell".to_string(),
+            async move {
+                pg::turn_away(stream, &shared, why).await;
+                drop(farewell);
+            },
+            || {},
+        );
+    }
+
+    fn next_key(&mut self) -> SessionKey {
+        self.last_key = self.last_key.wrapping_add(KEY_STEP);
+        SessionKey(self.last_key)
+    }
+
+    /// Starts a session on a worker, if it gets a place.
+    async fn start(&mut self, stream: TcpStream) {
+        let Some((place, gave_way)) = self.places.take() else {
+            log::debug!("all sessions are busy: a connection is turned away");
+            self.turn_away(stream, pg::Away::NoPlace);
+            return;
+        };
+        if gave_way {
+            // Whoever gave way lets its descriptor go before the next one is accepted.
+            yield_now().await;
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("a connection ended at once: {error}");
+            return;
+        }
+        let (serving, key) = (self.serving.clone(), self.next_key());
+        let leave = self
+            .staying
+            .newcomer(sedgebeam_core::mix(key.0) as f64 / u64::MAX as f64);
+        let alive = self.alive.clone();
+        let several = self.crew.is_several();
+        let (_, worker) = self.crew.place();
+        let counted = worker.count();
+        let task = async move {
+            // It is served where it is read: its socket's events must come on its worker's thread.
+            let stream = if several {
+                stream.into_std().and_then(TcpStream::from_std)
+            } else {
+                Ok(stream)
+            };
+            match stream {
+                Ok(stream) => pg::serve(stream, serving, key, leave, place).await,
+                Err(error) => log::warn!("a session is not handed over: {error}"),
+            }
+            drop((alive, counted));
+        };
+        worker.watch("a session", task);
+    }
+}
--- /dev/null
+++ b/dispatcher/src/serve/shutdown.rs
@@ -0,0 +1,57 @@
+//! The end of the program: all that was taken is answered first.
+
+use crate::duty::Duty;
+use sedgebeam_operation::Drain;
+use sedgebeam_port::Desk;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until};
+
+/// On the platform SIGKILL comes the longest deadline after SIGTERM, at most this, and 0.7 s more where another process
+/// takes over; what is open then is answered a little before.
+const MAX_DEADLINE: Duration = Duration::from_secs(5);
+const LAST_ANSWERS_AFTER: Duration = Duration::from_millis(500);
+
+/// What it takes to end.
+pub(super) struct Shutdown {
+    pub duty: Duty,
+    pub desk: Desk,
+    /// Tells listeners that the last call is over.
+    pub end: watch::Sender<bool>,
+    /// The task that accepts clients of the PostgreSQL protocol.
+    pub accepting: JoinHandle<Option<()>>,
+    /// Closed when the last session has ended.
+    pub all_ended: mpsc::Receiver<()>,
+    /// The longest that a client waits.
+    pub longest_deadline: Duration,
+    /// Another process goes on where this one ends.
+    pub is_followed: bool,
+}
+
+impl Shutdown {
+    /// Ends: takes nothing new after the last call, and waits until all that was taken is answered.
+    pub async fn run(mut self) {
+        // Said once it holds: whoever reads it may ask at the door at once.
+        self.duty.change(Drain::end);
+        log::info!("ending: last call");
+        let patience = self.longest_deadline.min(MAX_DEADLINE) + LAST_ANSWERS_AFTER;
+        let last_answers = Instant::now() + patience;
+        // Accepting ends by itself then; sessions end when they are idle. The sender is held by the drain's state.
+        let _ = self.duty.subscribe().wait_for(|orders| orders.over).await;
+        let _ = self.end.send(true);
+        let _ = self.accepting.await;
+        let ended = async { while self.all_ended.recv().await.is_some() {} };
+        let mut ended = std::pin::pin!(ended);
+        tokio::select! {
+            () = &mut ended => {}
+            // Where another process goes on, this one is killed before its longest requests end.
+            () = sleep_until(last_answers), if self.is_followed => {
+                log::info!("the last moment: all that is open is answered");
+                self.desk.last_call().await;
+                ended.await;
+            }
+        }
+        log::info!("ended: all that was taken is answered");
+    }
+}
