Hand the memory granted by the decision module on to engines, bounded by a query's share

Seen in the code: Action::Terms carries the memory to grant, and the broker's act() dropped it; no engine's wire wrote the field `grant`. The module bounded no grant either, so the simulator's adapter passed on more than max_grant_share.

Change: the module gives whole megabytes (rounded up) and at most max_grant_share of the memory of the engine that it sends to, rounded down; none where share or memory is not told. It is bounded there, where both adapters have it alike. The broker keeps the grant with the open request and gives it to the next attempt, never to the one that is out; none under settings that heed none, also where these came after the terms. RESP writes `grant=N`, Flight SQL engines get it as metadata. The codec's three tests moved unchanged to a file of their own.

Seen to fail: with the grant unrounded and unbounded the broker's and the round trip's test; without RESP's and Flight's field theirs; with the broker dropping the grant its three.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -20,7 +20,7 @@
 use sedgebeam_port::clock::{Clock, duration, span};
 use sedgebeam_port::{
     Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
-    NewRequest, Page, Probe, Report, Reports, Target, ToBroker, ToEngine,
+    NewRequest, Page, Probe, Report, Reports, Target, ToBroker, ToEngine, memory_grant,
 };
 use sedgebeam_retune::Tuning;
 use sedgebeam_settings::{Names, micros};
@@ -304,8 +304,10 @@
     fn act(&mut self, action: Action, now: Instant) {
         match action {
             Action::Terms {
-                request, priority, ..
-            } => self.terms(request, priority),
+                request,
+                memory_mb,
+                priority,
+            } => self.terms(request, memory_mb, priority),
             Action::Send {
                 request,
                 engine,
@@ -506,10 +508,12 @@
         out.is_some_and(|out| out.engine == engine)
     }
 
-    fn terms(&mut self, id: RequestId, priority: u8) {
+    /// Memory for what is sent next; the priority holds at once for what is out as well.
+    fn terms(&mut self, id: RequestId, memory_mb: f64, priority: u8) {
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
+        open.memory_grant_mb = memory_grant(memory_mb);
         let changed = std::mem::replace(&mut open.rank, priority) != priority;
         for (number, out) in open.all_out().filter(|_| changed) {
             post(&out.mailbox, ToEngine::Renice(id, number, priority));
@@ -561,6 +565,8 @@
             class: self.class_names[open.class.0].clone(),
             timeout,
             rank: open.rank,
+            // Settings that came since the terms may heed none.
+            memory_grant_mb: open.memory_grant_mb.filter(|_| self.settings.takes_grants),
             statement: open.statement.clone(),
             token: open.token.clone(),
             order_key: open.order_key.clone(),
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, ClassId, EngineId, TenantId};
 use sedgebeam_port::{Answer, EngineBox, NewRequest};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -30,6 +31,8 @@
     /// Cancelled once its client has gone or called it off.
     pub cancelled: CancellationToken,
     pub rank: u8,
+    /// The memory that its next attempt is granted.
+    pub memory_grant_mb: Option<NonZeroU32>,
     /// By number; `None` once it has had its outcome.
     pub attempts: Vec<Option<Out>>,
     /// It is noted as over, with nothing out.
@@ -53,6 +56,7 @@
             cancelled: request.cancelled,
             // The priority of what has none set.
             rank: 1,
+            memory_grant_mb: None,
             attempts: Vec::new(),
             noted: false,
         }
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -26,8 +26,14 @@
 }
 
 fn setup() -> Setup {
-    let facts = r#"{"balancers": 1, "tick": 5, "domain": {"tells_cost": true}, "tenants": [{"name": "acme"}],
+    setup_with(r#"{"tells_cost": true}"#)
+}
+
+/// The settings of these tests, with this for the particulars of the engines.
+fn setup_with(domain: &str) -> Setup {
+    let facts = r#"{"balancers": 1, "tick": 5, "domain": DOMAIN, "kinds": ["std"], "tenants": [{"name": "acme"}],
         "limits": {"cancel": true, "max_attempts": 3}, "services": [{"name": "load", "on_time": 9000, "give_up": 9000}]}"#;
+    let facts = &facts.replace("DOMAIN", domain);
     let facts: sedgebeam_settings::Facts = miniserde::json::from_str(facts).expect("settings");
     let tuning = Tuning {
         settings: facts.settings(),
@@ -331,8 +337,8 @@
     inside(|| {
         let mut bench = bench();
         bench.send();
-        bench.broker.terms(ID, 1);
-        bench.broker.terms(ID, 3);
+        bench.broker.terms(ID, 0.0, 1);
+        bench.broker.terms(ID, 0.0, 3);
         assert_eq!(bench.asked(), ["Send", "Renice"]);
     });
 }
@@ -462,3 +468,101 @@
         );
     });
 }
+
+/// All engines have one mailbox, which the test holds.
+struct OneMailbox(EngineBox);
+
+impl Engines for OneMailbox {
+    fn start(&self, _: &Target, _: Reports) -> EngineBox {
+        self.0.clone()
+    }
+}
+
+/// What the gateway has an engine of 1,001 MB grant a request of this estimate, where one query gets 0.4 of it at most.
+fn granted(takes_grants: bool, memory_mb: f64) -> Option<u32> {
+    let (mailbox, mut sent) = mpsc::channel(16);
+    let domain = format!(
+        r#"{{"takes_grants": {takes_grants}, "priorities": true, "max_grant_share": 0.4, "size_cores": [8], "size_mb": [1001.0]}}"#
+    );
+    let setup = Setup {
+        world: Arc::new(OneMailbox(mailbox)),
+        ..setup_with(&domain)
+    };
+    let (mut broker, _own, _incoming) = new(setup);
+    let up = Target {
+        uid: "s-1".to_string(),
+        endpoint: "127.0.0.1:1".to_string(),
+        state: "up".to_string(),
+        model: Some("std".to_string()),
+        ..Target::default()
+    };
+    broker.take(ToBroker::List(Listing::Complete, vec![up]));
+    let (reply, _answer) = oneshot::channel();
+    let asked = NewRequest {
+        memory_mb,
+        ..request()
+    };
+    broker.submit(asked, reply);
+    broker.batch(Instant::now());
+    match sent.try_recv() {
+        Ok(ToEngine::Send(attempt)) => attempt.memory_grant_mb.map(u32::from),
+        other => panic!("no attempt, but {other:?}"),
+    }
+}
+
+#[test]
+fn the_grant_of_the_terms_goes_with_the_attempt_and_never_beyond_one_query_s_share() {
+    inside(|| {
+        // A quarter more than the estimate, in whole megabytes.
+        assert_eq!(granted(true, 96.0), Some(120));
+        assert_eq!(granted(true, 96.2), Some(121));
+        assert_eq!(granted(true, 0.1), Some(1));
+        assert_eq!(granted(true, 900.0), Some(400), "the share is 400.4 MB");
+        assert_eq!(granted(true, 1e6), Some(400));
+        assert_eq!(granted(true, 0.0), None, "nothing was estimated");
+        assert_eq!(granted(false, 96.0), None, "grants are not heeded");
+    });
+}
+
+#[test]
+fn a_new_grant_is_for_the_next_attempt_and_not_for_the_one_that_is_out() {
+    inside(|| {
+        let mut bench = bench();
+        bench.broker.settings.takes_grants = true;
+        let grant_of = |bench: &mut Bench| match bench.sent.try_recv() {
+            Ok(ToEngine::Send(attempt)) => attempt.memory_grant_mb.map(u32::from),
+            other => panic!("no attempt, but {other:?}"),
+        };
+        let act = |bench: &mut Bench, memory_mb| {
+            let terms = Action::terms(ID, memory_mb, 1);
+            bench.broker.act(terms, Instant::now());
+        };
+        act(&mut bench, 96.0);
+        bench.send();
+        act(&mut bench, 128.0);
+        assert_eq!(grant_of(&mut bench), Some(96));
+        assert!(bench.asked().is_empty(), "it is told nothing more");
+        bench.end(End::Busy);
+        bench.send();
+        assert_eq!(grant_of(&mut bench), Some(128));
+        bench.broker.ended(ENGINE, ID, AttemptNo(1), End::Busy);
+        // New settings heed no grants: the gateway may have no terms to tell under them.
+        bench.broker.settings.takes_grants = false;
+        bench.send();
+        assert_eq!(grant_of(&mut bench), None);
+    });
+}
+
+#[test]
+fn what_is_no_amount_of_memory_is_no_grant() {
+    inside(|| {
+        let mut bench = bench();
+        for nothing in [0.0, 0.4, -1.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+            bench.broker.terms(ID, nothing, 1);
+            assert_eq!(bench.broker.open[&ID].memory_grant_mb, None, "{nothing}");
+        }
+        bench.broker.terms(ID, 96.0, 1);
+        let granted = bench.broker.open[&ID].memory_grant_mb;
+        assert_eq!(granted.map(u32::from), Some(96));
+    });
+}
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -89,6 +89,7 @@
             class: "lookup".into(),
             timeout: Duration::from_secs(9),
             rank: 1,
+            memory_grant_mb: None,
             statement,
             token: None,
             order_key: None,
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -430,11 +430,13 @@
             ("rank", self.attempt.rank.to_string()),
             ("ms", self.attempt.timeout.as_millis().max(1).to_string()),
         ];
+        let grant = self.attempt.memory_grant_mb;
+        let grant = grant.map(|memory_mb| ("grant", memory_mb.to_string()));
         let words = self
             .attempt
             .words()
             .map(|(name, word)| (name, word.to_string()));
-        for (name, value) in fields.into_iter().chain(words) {
+        for (name, value) in fields.into_iter().chain(grant).chain(words) {
             // A class whose name no header can hold goes without it.
             if let Ok(value) = value.parse() {
                 request.metadata_mut().insert(name, value);
@@ -583,3 +585,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/engines/src/flight/tests.rs
@@ -0,0 +1,45 @@
+//! What an engine that speaks Flight SQL is sent as metadata.
+
+use super::*;
+use sedgebeam_core::EngineId;
+use tokio_util::sync::CancellationToken;
+
+/// The metadata of a call for an attempt that is granted so much memory.
+fn metadata(memory_mb: f64) -> tonic::metadata::MetadataMap {
+    let (broker, _mailbox) = mpsc::channel(1);
+    let attempt = Attempt {
+        request: RequestId(255),
+        number: AttemptNo(0),
+        class: "report".into(),
+        timeout: Duration::from_millis(1500),
+        rank: 2,
+        memory_grant_mb: sedgebeam_port::memory_grant(memory_mb),
+        statement: "SELECT 1".into(),
+        token: Some("5c0f".into()),
+        order_key: None,
+        cancelled: CancellationToken::new(),
+        starts_by: Instant::now(),
+    };
+    let task = Task {
+        attempt,
+        endpoint: String::new(),
+        reports: Reports::new(EngineId(1), broker),
+        figures: Figures::default(),
+    };
+    task.request(()).metadata().clone()
+}
+
+#[test]
+fn a_call_names_its_grant_beside_its_rank_only_where_there_is_one() {
+    let cases = [(96.0, Some("96")), (0.0, None), (f64::NAN, None)];
+    for (memory_mb, grant) in cases {
+        let metadata = metadata(memory_mb);
+        let told = |name: &str| metadata.get(name).and_then(|value| value.to_str().ok());
+        assert_eq!(told("grant"), grant, "{memory_mb}");
+        assert_eq!(told("txn"), Some("00000000000000ff"));
+        assert_eq!(told("kind"), Some("report"));
+        assert_eq!(told("rank"), Some("2"));
+        assert_eq!(told("ms"), Some("1500"));
+        assert_eq!(told("token"), Some("5c0f"));
+    }
+}
--- /dev/null
+++ b/engines/src/resp/codec/tests.rs
@@ -0,0 +1,176 @@
+//! The bytes of commands and answers.
+
+use super::*;
+
+const ID: &str = "00000000000000ff";
+
+fn decode(text: &str) -> io::Result<Option<Reply>> {
+    Resp.decode(&mut BytesMut::from(text))
+}
+
+fn array(parts: &[&str]) -> String {
+    let parts = parts
+        .iter()
+        .map(|part| format!("${}\r\n{part}\r\n", part.len()));
+    format!("*{}\r\n{}", parts.len(), parts.collect::<String>())
+}
+
+#[test]
+fn each_answer_becomes_its_word() {
+    let rows = Bytes::from_static(b"a\tb\tc\n");
+    let busy = Load {
+        busy: Some(0.5),
+        ..Load::default()
+    };
+    let ok = Word::Ok {
+        parts: 3,
+        work: Some(81.5),
+        load: Some(busy),
+        rows: rows.clone(),
+    };
+    let cases = [
+        (
+            [
+                "OK",
+                "parts=3,work=81.5,peak=9,gauges=util:0.5",
+                "a\tb\tc\n",
+            ],
+            ok,
+        ),
+        (["BUSY", "-", ""], Word::Busy),
+        (["ERR", "-", ""], Word::Err),
+        (["VOID", "-", ""], Word::Void),
+        (
+            ["NOTE", "res=p,value=0.25", ""],
+            Word::Note(Some(Note::Progress(0.25))),
+        ),
+        (
+            ["NOTE", "res=s,value=64", ""],
+            Word::Note(Some(Note::Spills(64.0))),
+        ),
+        (
+            ["NOTE", "res=w,value=1", ""],
+            Word::Note(Some(Note::WaitsForMemory)),
+        ),
+        (
+            ["NOTE", "res=w,value=2", ""],
+            Word::Note(Some(Note::WaitsForLoad)),
+        ),
+        (["NOTE", "-", ""], Word::Note(None)),
+        (
+            ["ROWS", "part_no=2", "a\tb\tc\n"],
+            Word::Rows { page: 2, rows },
+        ),
+    ];
+    for ([word, fields, body], expected) in cases {
+        let text = array(&["00000000000000ff", word, fields, body]);
+        let reply = decode(&text).expect("is read").expect("is whole");
+        assert_eq!(
+            reply,
+            Reply {
+                about: About::Request(RequestId(255)),
+                word: expected
+            }
+        );
+        // However it is cut, it is not read before it is whole.
+        for length in 0..text.len() {
+            assert_eq!(decode(&text[..length]).expect("is no error"), None);
+        }
+    }
+    let up = decode(&array(&["p7", "UP", "gauges=cpu:0.5", ""])).expect("is read");
+    assert_eq!(
+        up,
+        Some(Reply {
+            about: About::Tag(7),
+            word: Word::Up(Some(busy))
+        })
+    );
+}
+
+#[test]
+fn a_name_never_given_is_nobodys_and_no_fault() {
+    for name in [
+        "zz",
+        "p",
+        "",
+        "ff",
+        "0000000000000000ff",
+        "+0000000000000ff",
+    ] {
+        let reply = decode(&array(&[name, "OK", "parts=1", "a\tb\tc\n"]));
+        let reply = reply.expect("is read").expect("is whole");
+        assert_eq!(reply.about, About::Nobody, "{name}");
+    }
+}
+
+#[test]
+fn what_is_malformed_is_an_error_and_never_a_wait_without_end() {
+    let endless = "9".repeat(40);
+    for text in [
+        "+OK\r\n",
+        "*x\r\n",
+        "*-1\r\n",
+        "*99\r\n",
+        "*1\r\n:3\r\n",
+        "*2\r\n$2\r\nab__",
+        "*2\r\n$999999999\r\n",
+        "*0\r\n",
+        &endless,
+        &array(&[ID, "OK", "parts=1", &"a\tb\tc\n".repeat(1001)]),
+        "*4\r\n$16\r\n00000000000000ff\r\n$2\r\nOK\r\n$7\r\nparts=1\r\n$3000000000\r\n",
+    ] {
+        assert!(decode(text).is_err(), "{text:?}");
+    }
+    for text in [
+        &array(&[ID, "WHAT", "-", ""]),
+        &array(&[ID, "ROWS", "-", ""]),
+        &array(&[ID, "ROWS", "part_no=0", ""]),
+        &array(&[ID, "OK", "-", ""]),
+        &array(&[ID, "OK", "parts=0", ""]),
+        &array(&[ID, "OK", "parts=1e9", ""]),
+        &array(&[ID, "OK", "parts=1,work=x", ""]),
+        &array(&[ID, "OK", "p@rts", ""]),
+        &array(&[ID, "OK", "parts=1", "a\tb\tc"]),
+        &array(&[ID, "OK", "parts=1", "a\tb\tc\na\tb\n"]),
+        &array(&[ID, "OK", "parts=1", "a\tb\tc\td\n"]),
+    ] {
+        let reply = decode(text).expect("is read").expect("is whole");
+        assert!(matches!(reply.word, Word::Spoilt(_)), "{text:?}");
+    }
+}
+
+/// An attempt at a report that is granted so much memory.
+fn attempt(memory_mb: f64) -> Attempt {
+    Attempt {
+        request: RequestId(255),
+        number: sedgebeam_core::AttemptNo(0),
+        class: "report".into(),
+        timeout: std::time::Duration::from_millis(1500),
+        rank: 2,
+        memory_grant_mb: sedgebeam_port::memory_grant(memory_mb),
+        statement: Bytes::from_static(b"SELECT 1"),
+        token: Some("5c0f".into()),
+        order_key: None,
+        cancelled: tokio_util::sync::CancellationToken::new(),
+        starts_by: tokio::time::Instant::now(),
+    }
+}
+
+#[test]
+fn a_fetch_names_its_grant_only_where_there_is_one() {
+    let cases = [
+        (96.0, "kind=report,ms=1500,rank=2,grant=96,token=5c0f"),
+        (0.0, "kind=report,ms=1500,rank=2,token=5c0f"),
+        (0.4, "kind=report,ms=1500,rank=2,token=5c0f"),
+        (-1.0, "kind=report,ms=1500,rank=2,token=5c0f"),
+        (f64::NAN, "kind=report,ms=1500,rank=2,token=5c0f"),
+        (f64::INFINITY, "kind=report,ms=1500,rank=2,token=5c0f"),
+    ];
+    for (memory_mb, fields) in cases {
+        let mut bytes = BytesMut::new();
+        let fetch = Command::Fetch(attempt(memory_mb));
+        Resp.encode(fetch, &mut bytes).expect("encodes");
+        let expected = array(&["fetch", ID, fields, "SELECT 1"]);
+        assert_eq!(std::str::from_utf8(&bytes), Ok(&*expected), "{memory_mb}");
+    }
+}
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::{BrokerBox, Target, ToBroker};
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, EngineId, Load, Micros, Note, RequestId};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -24,6 +25,13 @@
     NothingNew,
 }
 
+/// The grant of so much memory, in whole megabytes; `None` for zero and for anything that is no amount of memory.
+pub fn memory_grant(memory_mb: f64) -> Option<NonZeroU32> {
+    let finite = Some(memory_mb).filter(|amount| amount.is_finite());
+    // What is negative becomes zero.
+    NonZeroU32::new(finite? as u32)
+}
+
 /// An attempt on its way to an engine.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -32,6 +40,8 @@
     pub class: Arc<str>,
     pub timeout: Duration,
     pub rank: u8,
+    /// The memory that it is granted; without it the engine chooses.
+    pub memory_grant_mb: Option<NonZeroU32>,
     pub statement: Bytes,
     /// By what engines know a repeat of the request.
     pub token: Option<Arc<str>>,
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -14,6 +14,8 @@
 pub use administration::{Answers, Asked, Counters, Denied, EngineRow, Health, TenantRow, Told};
 pub use answer::{Answer, Broken, Delivery, Failure, Pending};
 pub use desk::{BEAT, Closed, Desk};
-pub use engine::{Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine};
+pub use engine::{
+    Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine, memory_grant,
+};
 pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker};
 pub use sedgebeam_roster::{Listing, Target, apply};
--- a/simhost/tests/round_trip.rs
+++ b/simhost/tests/round_trip.rs
@@ -119,6 +119,19 @@
     assert_eq!(order(&all[0], "set_alarm")["due_at"], json!(1010.0));
 }
 
+/// The same as a real engine is granted: whole megabytes, and at most what one query may get of its engine's 8,192.
+#[test]
+fn a_grant_is_whole_and_no_more_than_one_query_may_get() {
+    let cases = [(0.0, 0.0), (96.2, 121.0), (6000.0, 4096.0)];
+    for (need_mb, granted) in cases {
+        let mut asked = item(3, A, "look-up");
+        asked["need_mb"] = json!(need_mb);
+        let all = replies(&[json!([spawn(3), ledger(0, 77), announce(3, 0), asked])]);
+        let terms = order(&all[0], "limits_for");
+        assert_eq!(terms["mem_mb"], json!(granted), "{need_mb}");
+    }
+}
+
 #[test]
 fn every_event_is_understood() {
     let completed = |outcome: &str, req: &str, seq_no: u64, finished: bool| {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -715,7 +715,7 @@
         let (work, need) = (self.weight(request.class), self.need(request));
         let starts_by = self.starts_by(request);
         if self.settings.takes_grants || self.settings.takes_priorities {
-            self.actions.push(self.terms(request));
+            self.actions.push(self.terms(request, engine));
         }
         let (request, engine) = self.requests.get_mut(&id).zip(self.engines.get_mut(&to))?;
         let timeout = request.deadline - now;
@@ -740,14 +740,16 @@
         Some(())
     }
 
-    /// Memory by need; as priority the rank by worth for thread time, least at the usual one.
-    fn terms(&self, request: &Request) -> Action {
+    /// Memory by need, whole megabytes and at most a query's share of the engine's (none where that is not told);
+    /// as priority the rank by worth for thread time, least at the usual one.
+    fn terms(&self, request: &Request, engine: &EngineView) -> Action {
         let classes = self.settings.in_use();
         let worth = |class: usize| self.settings.classes[class].worth / self.held(class);
         let own = worth(request.class);
         let less = classes.filter(|class| worth(*class) < own).count();
         let heeded = f64::from(u8::from(self.settings.takes_grants));
-        let memory_mb = heeded * self.need(request);
+        let largest_grant = (self.settings.max_grant_share * engine.memory_mb).floor();
+        let memory_mb = heeded * self.need(request).ceil().min(largest_grant);
         let priority = (1 + less).min(MOST_PRIORITY) as u8;
         Action::terms(request.query.id, memory_mb, priority)
     }
