--- a/src/policy.rs
+++ b/src/policy.rs
@@ -740,8 +740,8 @@
         Some(())
     }
 
-    /// Memory by need, whole megabytes and at most a query's share of the engine's (none where that is not told);
-    /// as priority the rank by worth for thread time, least at the usual one.
+    /// Memory by need, in whole megabytes and at most a query's share of the engine's: none where that is not
+    /// told. As priority the rank by worth for thread time, least at the usual one.
     fn terms(&self, request: &Request, engine: &EngineView) -> Action {
         let classes = self.settings.in_use();
         let worth = |class: usize| self.settings.classes[class].worth / self.held(class);
