Write later=MS into refusals where there is advice, and no advice where there is none

Seen in the code: the clients' protocol has `later=MS` in a refusal's text, and the front wrote a hint alone. A refusal without advice (zero) told 1 ms, and those of no queue (no place, draining, tickets of Flight SQL) always told 1000 ms, whatever the settings allow.

Text and hint on the PostgreSQL front, RetryInfo on Flight SQL, or nothing at all.

--- a/dispatcher/tests/scenarios/fronts.rs
+++ b/dispatcher/tests/scenarios/fronts.rs
@@ -141,8 +141,11 @@
         stage.play(&format!("{client} send report {id}"));
         let heard = stage.hear(client);
         assert!(heard.starts_with("error 53300"), "{heard}");
-        let told = heard.contains("try again in") || heard.contains("retry in");
-        assert!(told, "{heard}");
+        let told: &[&str] = match client {
+            "c1" => &["later=1000 ", "try again in 1000 ms"],
+            _ => &["retry in 1000 ms"],
+        };
+        assert!(told.iter().all(|told| heard.contains(told)), "{heard}");
     }
 }
 
--- a/fronts/src/flight.rs
+++ b/fronts/src/flight.rs
@@ -3,6 +3,7 @@
 //! GetFlightInfo checks a statement and gives a ticket that is good once; DoGet runs it. The fields stand
 //! in a comment ahead of the statement, as on the other front, or else in the call's metadata.
 
+use super::advice::RetryAdvice;
 use super::{Shared, reason, statement};
 use arrow_array::RecordBatch;
 use arrow_flight::encode::FlightDataEncoderBuilder;
@@ -111,9 +112,13 @@
     })
 }
 
-fn refused(retry_after: Duration) -> Status {
-    let details = ErrorDetails::with_retry_info(Some(retry_after));
+/// Says that nothing ran, and where there is advice when to come back.
+fn refused(advice: Option<RetryAdvice>) -> Status {
     let message = "too busy to run the statement; it did not run";
+    let Some(advice) = advice else {
+        return Status::resource_exhausted(message);
+    };
+    let details = ErrorDetails::with_retry_info(Some(advice.duration()));
     Status::with_error_details(Code::ResourceExhausted, message, details)
 }
 
@@ -161,7 +166,8 @@
             tickets.forget_old(Instant::now());
         }
         if tickets.held.len() >= MOST_TICKETS {
-            return Err(refused(Duration::from_secs(1)));
+            let tuning = self.shared.desk.tuning();
+            return Err(refused(RetryAdvice::usual(&tuning.settings)));
         }
         tickets.next = tickets.next.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let number = tickets.next;
@@ -229,7 +235,7 @@
         };
         match answer {
             Answer::Rows(delivery) => Ok(delivery),
-            Answer::Refused { retry_after } => Err(refused(retry_after)),
+            Answer::Refused { retry_after } => Err(refused(RetryAdvice::new(retry_after))),
             Answer::Failed(failure) => Err(failed(failure)),
         }
     }
@@ -395,3 +401,6 @@
 
     async fn register_sql_info(&self, _id: i32, _result: &SqlInfo) {}
 }
+
+#[cfg(test)]
+mod tests;
--- a/fronts/src/lib.rs
+++ b/fronts/src/lib.rs
@@ -1,11 +1,14 @@
 //! What clients speak to: thin fronts that decode a request, call the broker and encode its answer.
 
+mod advice;
 pub mod flight;
 pub mod incoming;
 pub mod leave;
 pub mod pg;
 pub mod places;
 pub mod statement;
+#[cfg(test)]
+mod test_desk;
 
 use sedgebeam_port::{Desk, Failure};
 
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -1,14 +1,17 @@
 //! The platform's front: sessions of the PostgreSQL protocol, one actor each.
 
 mod codec;
+#[cfg(test)]
+mod tests;
 
+use super::advice::RetryAdvice;
 use super::leave::Leave;
 use super::places::{Place, Standing};
 use super::{Shared, reason, statement};
 use bytes::Bytes;
 use codec::{Error, Pg, Said, Say};
 use futures::{FutureExt, SinkExt, StreamExt};
-use sedgebeam_port::{Answer, Broken, Delivery, Failure, Pending, SessionKey};
+use sedgebeam_port::{Answer, Broken, Delivery, Desk, Failure, Pending, SessionKey};
 use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
@@ -119,8 +122,8 @@
 /// Refuses a connection. It may have come to cancel what another session has under way, and for that needs no place.
 pub async fn turn_away(stream: TcpStream, shared: &Shared, why: Away) {
     let told = match why {
-        Away::NoPlace => no_place(),
-        Away::Draining => draining(),
+        Away::NoPlace => no_place(&shared.desk),
+        Away::Draining => draining(&shared.desk),
     };
     // No statement is read with this one.
     let mut wire = Framed::new(stream, Pg::new(0));
@@ -155,20 +158,35 @@
     let _ = timeout(FAREWELL, farewell).await;
 }
 
-fn refusal(code: &'static str, message: &str) -> Error {
+/// An error that says that nothing ran, and where there is advice when to come back: in the text, as the clients'
+/// protocol has it, and in a hint for people.
+fn refusal(code: &'static str, reason: &str, advice: Option<RetryAdvice>) -> Error {
+    let mut message = reason.to_string();
+    let later = advice.map(RetryAdvice::millis);
+    if let Some(millis) = later {
+        message.push_str(&format!("; later={millis}"));
+    }
     Error {
         code,
-        message: message.to_string(),
-        hint: Some("try again in 1000 ms".to_string()),
+        message,
+        hint: later.map(|millis| format!("try again in {millis} ms")),
     }
 }
 
-fn no_place() -> Error {
-    refusal("53300", "there are too many sessions; nothing ran")
+fn busy(retry_after: Duration) -> Error {
+    let reason = "too busy to run the statement; it did not run";
+    refusal("53300", reason, RetryAdvice::new(retry_after))
+}
+
+fn no_place(desk: &Desk) -> Error {
+    let advice = RetryAdvice::usual(&desk.tuning().settings);
+    refusal("53300", "there are too many sessions; nothing ran", advice)
 }
 
-fn draining() -> Error {
-    refusal("57P03", "this dispatcher takes no more work; nothing ran")
+fn draining(desk: &Desk) -> Error {
+    let advice = RetryAdvice::usual(&desk.tuning().settings);
+    let reason = "this dispatcher takes no more work; nothing ran";
+    refusal("57P03", reason, advice)
 }
 
 struct Session {
@@ -261,7 +279,8 @@
             match self.wire.next().now_or_never().flatten() {
                 Some(Ok(Said::Query(text))) if !is_empty(&text) => {
                     // As above.
-                    let _ = self.say(Say::Error(no_place())).await;
+                    let told = no_place(&self.shared.desk);
+                    let _ = self.say(Say::Error(told)).await;
                     break;
                 }
                 Some(Ok(_)) => {}
@@ -321,7 +340,7 @@
             let told = if self.leave.ready() {
                 Say::Empty
             } else {
-                Say::Error(draining())
+                Say::Error(draining(&self.shared.desk))
             };
             self.wire.feed(told).await?;
             self.say(Say::Ready).await?;
@@ -333,7 +352,8 @@
             Ok(request) => {
                 // One that must give way at this moment has sent nothing on.
                 if !self.place.stand(Standing::Busy) {
-                    self.say(Say::Error(no_place())).await?;
+                    let told = no_place(&self.shared.desk);
+                    self.say(Say::Error(told)).await?;
                     return Ok(false);
                 }
                 let pending = self.shared.desk.submit(request).await;
@@ -349,14 +369,7 @@
         match answer {
             Answer::Rows(delivery) => self.pass(delivery).await?,
             Answer::Refused { retry_after } => {
-                let hint = format!("try again in {} ms", retry_after.as_millis().max(1));
-                let message = "too busy to run the statement; it did not run".to_string();
-                let told = Error {
-                    code: "53300",
-                    message,
-                    hint: Some(hint),
-                };
-                self.wire.feed(Say::Error(told)).await?;
+                self.wire.feed(Say::Error(busy(retry_after))).await?;
             }
             Answer::Failed(failure @ (Failure::Duplicate | Failure::Tenant)) => {
                 self.place.stand(Standing::Stranger);
--- /dev/null
+++ b/fronts/src/pg/tests.rs
@@ -0,0 +1,160 @@
+//! What refused clients are told, on real sockets: the front alone, before a broker that the test plays.
+
+use super::*;
+use crate::leave::Staying;
+use crate::places::Places;
+use crate::test_desk::{STATEMENT, desk, refuse};
+use sedgebeam_operation::Drain;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+fn inside<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+/// Both ends of a connection.
+async fn pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let client = TcpStream::connect(address).await.expect("connects");
+    (client, listener.accept().await.expect("accepts").0)
+}
+
+/// A start, and a query right behind it.
+fn startup_and(statement: &str) -> Vec<u8> {
+    let body = b"user\0app\0database\0main\0\0";
+    let mut bytes = (body.len() as u32 + 8).to_be_bytes().to_vec();
+    bytes.extend((3u32 << 16).to_be_bytes());
+    bytes.extend(body);
+    bytes.push(b'Q');
+    bytes.extend((statement.len() as u32 + 5).to_be_bytes());
+    bytes.extend(statement.as_bytes());
+    bytes.push(0);
+    bytes
+}
+
+/// The text and the hint of the first error that the client is told.
+async fn error(client: &mut TcpStream) -> (String, Option<String>) {
+    loop {
+        let kind = client.read_u8().await.expect("a message");
+        let length = client.read_u32().await.expect("a length");
+        let mut body = vec![0; length as usize - 4];
+        client.read_exact(&mut body).await.expect("a body");
+        if kind == b'E' {
+            let mut fields = body.split(|byte| *byte == 0);
+            let mut field = |mark: u8| {
+                let found = fields.find(|field| field.first() == Some(&mark));
+                found.map(|field| String::from_utf8_lossy(&field[1..]).into_owned())
+            };
+            return (field(b'M').expect("a text"), field(b'H'));
+        }
+    }
+}
+
+/// Has the front serve a connection that begins with this query; the broker refuses it with that advice, if it comes so far.
+async fn refused(
+    desk: &Desk,
+    drain: Drain,
+    statement: &str,
+    broker: Option<(
+        &mut tokio::sync::mpsc::Receiver<sedgebeam_port::ToBroker>,
+        Duration,
+    )>,
+) -> (String, Option<String>) {
+    let (mut client, server) = pair().await;
+    let said = startup_and(statement);
+    client.write_all(&said).await.expect("writes");
+    // All of it is there to be read before the session begins.
+    let mut there = vec![0; said.len()];
+    while server.peek(&mut there).await.expect("reads") < said.len() {}
+    let serving = Serving {
+        shared: Shared { desk: desk.clone() },
+        longest: 16 * 1024,
+        farewells: Arc::new(Semaphore::new(4)),
+    };
+    let (place, _) = Places::new(1).take().expect("a place");
+    let orders = watch::channel(drain.orders(Duration::ZERO)).1;
+    let leave = Staying::new(orders, Instant::now()).newcomer(0.5);
+    tokio::spawn(serve(server, serving, SessionKey(7), leave, place));
+    if let Some((broker, retry_after)) = broker {
+        refuse(broker, retry_after).await;
+    }
+    error(&mut client).await
+}
+
+/// The text and the hint that advise to stay away for so many milliseconds, or for no time.
+fn advising(reason: &str, millis: Option<u64>) -> (String, Option<String>) {
+    match millis {
+        Some(millis) => (
+            format!("{reason}; later={millis}"),
+            Some(format!("try again in {millis} ms")),
+        ),
+        None => (reason.to_string(), None),
+    }
+}
+
+#[test]
+fn a_refused_query_hears_the_advice_of_its_refusal_and_none_where_there_is_none() {
+    inside(async {
+        let (desk, mut broker) = desk(1000).await;
+        for (retry_after, told) in [
+            (Duration::from_millis(250), Some(250)),
+            (Duration::from_micros(1_999), Some(1)),
+            (Duration::from_micros(999), None),
+            (Duration::ZERO, None),
+        ] {
+            let broker = Some((&mut broker, retry_after));
+            let heard = refused(&desk, Drain::new(false), STATEMENT, broker).await;
+            let reason = "too busy to run the statement; it did not run";
+            assert_eq!(heard, advising(reason, told), "{retry_after:?}");
+        }
+    });
+}
+
+/// The longest advice that the settings allow, and what a refusal that no queue decided on tells then.
+const FIXED: [(u64, Option<u64>); 4] = [
+    (0, None),
+    (400, Some(400)),
+    (1000, Some(1000)),
+    (9000, Some(1000)),
+];
+
+#[test]
+fn a_draining_dispatcher_advises_as_far_as_the_settings_allow() {
+    let reason = "this dispatcher takes no more work; nothing ran";
+    for (longest, told) in FIXED {
+        inside(async {
+            let (desk, _broker) = desk(longest).await;
+            let mut drain = Drain::new(false);
+            drain.prepared();
+            drain.lame_duck(Duration::ZERO);
+            // The platform's front asks with an empty query whether work is taken.
+            let heard = refused(&desk, drain, ";", None).await;
+            assert_eq!(heard, advising(reason, told), "{longest}");
+            let heard = turned_away(desk, Away::Draining).await;
+            assert_eq!(heard, advising(reason, told), "{longest}");
+        });
+    }
+}
+
+#[test]
+fn who_finds_no_place_is_advised_as_far_as_the_settings_allow() {
+    let reason = "there are too many sessions; nothing ran";
+    for (longest, told) in FIXED {
+        inside(async {
+            let (desk, _broker) = desk(longest).await;
+            let heard = turned_away(desk, Away::NoPlace).await;
+            assert_eq!(heard, advising(reason, told), "{longest}");
+        });
+    }
+}
+
+async fn turned_away(desk: Desk, why: Away) -> (String, Option<String>) {
+    let (mut client, server) = pair().await;
+    tokio::spawn(async move { turn_away(server, &Shared { desk }, why).await });
+    error(&mut client).await
+}
--- /dev/null
+++ b/fronts/src/test_desk.rs
@@ -0,0 +1,50 @@
+//! A desk whose broker the test plays.
+
+use sedgebeam_core::{Class, Micros, Settings};
+use sedgebeam_operation::Figures;
+use sedgebeam_port::{Answer, Desk, ToBroker};
+use sedgebeam_retune::Tuning;
+use sedgebeam_settings::Names;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// A statement of the only class.
+pub const STATEMENT: &str =
+    "/* verb=lookup,txn=00000000000000ff,limit=60000 */ SELECT 1 FROM sales_1.orders";
+
+/// Clients are advised to stay away for so many milliseconds at most.
+pub async fn desk(max_retry_after: u64) -> (Desk, mpsc::Receiver<ToBroker>) {
+    let class = Class {
+        name: "lookup".to_string(),
+        ..Class::default()
+    };
+    let tuning = Tuning {
+        settings: Settings {
+            classes: vec![class],
+            max_retry_after: Micros::from_millis(max_retry_after),
+            ..Settings::default()
+        },
+        names: Names {
+            classes: vec!["lookup".to_string()],
+            give_up: vec![Micros::from_millis(60_000)],
+            ..Names::default()
+        },
+        most_open: 100,
+    };
+    let desk = Desk::new(1, 1, Figures::default(), tuning);
+    let (mailbox, broker) = mpsc::channel(64);
+    desk.open(0, mailbox).await.expect("a broker");
+    (desk, broker)
+}
+
+/// Refuses the next request, with this advice.
+pub async fn refuse(broker: &mut mpsc::Receiver<ToBroker>, retry_after: Duration) {
+    while let Some(told) = broker.recv().await {
+        if let ToBroker::Submit(_, reply) = told {
+            let refused = Answer::Refused { retry_after };
+            reply.send(refused).expect("is waited for");
+            return;
+        }
+    }
+    panic!("no request has come");
+}
--- a/port/src/answer.rs
+++ b/port/src/answer.rs
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub enum Answer {
     Rows(Delivery),
-    /// Turned away; harmless to try again after this long.
+    /// Turned away; harmless to try again after this long (zero: no advice).
     Refused {
         retry_after: Duration,
     },
