Read the field by which a client marks its retry, and tell the decision module of it

Seen in the code: the clients' protocol has `second` (`1`, else absent); the fronts passed over it whatever it held, and the simulator's adapter over the bit of `opts` that says the same.

Change: anything but `1` is an error as with other fields; NewRequest and the module's Query have `is_retry`, from both adapters alike. No decision depends on it. `unique` was handed on as `token` already, unchanged; a test of the statement's fields now holds that too. The statement's two tests moved to a file of their own; five wrong values of `second` were added to one of them.

Seen to fail: four tests with the mark neither read, checked nor handed on (fronts 2, broker 1, adapter 1).

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -449,6 +449,7 @@
             work: request.work,
             memory_mb: request.memory_mb,
             group: request.group,
+            is_retry: request.is_retry,
         }));
         let slack = duration(self.settings.answer_slack);
         self.at(request.deadline + slack, Due::Answer(id, request.deadline));
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -80,6 +80,7 @@
         memory_mb: 0.0,
         group: GroupId(0),
         statement: Bytes::from_static(b"INSERT"),
+        is_retry: false,
         token: None,
         order_key: None,
         session: None,
@@ -566,3 +567,20 @@
         assert_eq!(granted.map(u32::from), Some(96));
     });
 }
+
+#[test]
+fn the_gateway_is_told_of_a_client_s_retry() {
+    inside(|| {
+        for is_retry in [false, true] {
+            let (mut broker, _own, _incoming) = new(setup());
+            let (reply, _answer) = oneshot::channel();
+            let asked = NewRequest {
+                is_retry,
+                ..request()
+            };
+            broker.submit(asked, reply);
+            let told = broker.events.first();
+            assert!(matches!(told, Some(Event::Request(query)) if query.is_retry == is_retry));
+        }
+    });
+}
--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -152,6 +152,7 @@
             memory_mb: 0.0,
             group: GroupId(0),
             statement: "SELECT".into(),
+            is_retry: false,
             token: None,
             order_key: None,
             session: Some(SessionKey(7)),
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -259,6 +259,7 @@
             // Each load has a group of its own: none waits for another.
             group: GroupId(id),
             statement: "SELECT".into(),
+            is_retry: false,
             token: None,
             order_key: key.map(Into::into),
             session: None,
--- a/fronts/src/statement.rs
+++ b/fronts/src/statement.rs
@@ -97,6 +97,11 @@
         Some(word) if !fits(word) => Err(unusable(name)),
         word => Ok(word.map(Into::into)),
     };
+    let is_retry = match field("second") {
+        None => false,
+        Some("1") => true,
+        Some(_) => return Err(unusable("second")),
+    };
     let limit = number("limit", millis(longest) * MOST_PATIENCE)?;
     if limit == 0.0 {
         return Err(unusable("limit"));
@@ -110,6 +115,7 @@
         memory_mb: number("memory", MOST_MEMORY_MB)?,
         group: GroupId(group(text).unwrap_or_default()),
         statement,
+        is_retry,
         token: word("unique")?,
         order_key: word("item")?,
         session,
@@ -301,96 +307,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_group_is_that_of_the_schema_and_of_nothing_else() {
-        let cases = [
-            (
-                "SELECT day, count(*) FROM sales_17.orders WHERE tag = '3f9c'",
-                Some(17),
-            ),
-            ("SELECT 'from a_1.b', \"x\" FROM sales_2.orders", Some(2)),
-            ("SELECT 1 -- from a_1.b\n FROM sales_3.orders", Some(3)),
-            (
-                "SELECT 1 /* from a_1.b /* from a_2.b */ from a_3.c */ FROM sales_4.o",
-                Some(4),
-            ),
-            (
-                "INSERT INTO sales_5.orders SELECT * FROM staging.batch_9",
-                Some(5),
-            ),
-            (
-                "INSERT INTO staging.batch_9 SELECT * FROM sales_6.orders",
-                Some(6),
-            ),
-            ("COPY \"sales_7\".\"orders\" FROM STDIN", Some(7)),
-            ("SELECT t_1.a FROM sales_8.orders t_1", Some(8)),
-            ("SELECT E'it\\'s a_1.b' FROM sales_9.o", Some(9)),
-            ("SELECT 'it''s a_1.b' FROM sales_10.o", Some(10)),
-            (
-                "SELECT $tag$ from a_1.b $tag$, $1 FROM sales_11.o",
-                Some(11),
-            ),
-            (
-                "UPDATE main . sales SET a = 1.5 FROM sales_12 . o",
-                Some(12),
-            ),
-            ("DELETE FROM ONLY sales_13.o", Some(13)),
-            ("SELECT db.sales_14.o", None),
-            ("SELECT 1.5, a_b.c, x_.y FROM plain", None),
-            ("SELECT 'never ended FROM sales_1.o", None),
-            ("/* never ended FROM sales_1.o", None),
-            ("SELECT $tag$ never ended FROM sales_1.o", None),
-            ("", None),
-        ];
-        for (statement, number) in cases {
-            assert_eq!(group(statement), number, "{statement}");
-        }
-    }
-
-    #[test]
-    fn fields_that_cannot_be_used_are_named() {
-        let names = Names {
-            classes: vec!["lookup".to_string()],
-            give_up: vec![micros(2500.0)],
-            ..Names::default()
-        };
-        let told = |text: &str| {
-            let text = Bytes::copy_from_slice(text.as_bytes());
-            read(&text, Instant::now(), &names, None).map_err(|Unusable(why)| why)
-        };
-        let good = "/* verb=lookup,txn=9b1f03aa5c7e2d41,limit=1500,cpu=820.0 */ SELECT 1";
-        let request = told(good).expect("is read");
-        assert_eq!(request.id, RequestId(0x9b1f_03aa_5c7e_2d41));
-        assert_eq!(request.work.0, 820_000);
-        assert_eq!(&request.statement[..], b"SELECT 1");
-        for (wrong, key) in [
-            (good.replace("lookup", "other"), "verb"),
-            (good.replace("9b1f", "9b1fx"), "txn"),
-            (good.replace("9b1f", "9b1f9b1f"), "txn"),
-            (good.replace("9b1f", ""), "txn"),
-            (good.replace("9b1f", "+b1f"), "txn"),
-            (good.replace("9b1f", "9B1F"), "txn"),
-            (good.replace("txn=9b1f03aa5c7e2d41,", ""), "txn"),
-            (good.replace("limit=1500,", ""), "limit"),
-            (good.replace("1500", "5001"), "limit"),
-            (good.replace("cpu=820.0", "verb=report"), "verb"),
-            (good.replace("cpu=820.0", "cpu"), "pairs"),
-            (good.replace("820.0", "-1"), "cpu"),
-            (good.replace("820.0", "1e300"), "cpu"),
-            (good.replace("cpu=820.0", "memory=1e12"), "memory"),
-            (good.replace("SELECT 1", " "), "no statement"),
-            (good.replace("1500", "0"), "limit"),
-            (good.replace("1500", "-1"), "limit"),
-            (good.replace("1500", "NaN"), "limit"),
-            (good.replace("820.0", "inf"), "cpu"),
-            (good.replace("*/", ""), "no comment"),
-            ("SELECT 1".to_string(), "no comment"),
-        ] {
-            let why = told(&wrong).expect_err(&wrong);
-            assert!(why.contains(key), "{key} in {why}");
-        }
-    }
-}
+mod tests;
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -23,6 +23,8 @@
     pub memory_mb: f64,
     pub group: GroupId,
     pub statement: Bytes,
+    /// Its client says that it has tried before.
+    pub is_retry: bool,
     /// By what engines know a repeat of it, where its class is keyed; handed on as it came.
     pub token: Option<Arc<str>>,
     /// Requests of one key run in the order in which they came, where their class keeps it; handed on as it came.
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -10,6 +10,10 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
+/// Bits of a request's `opts`: its estimate counts; its client marks it as a repeat.
+const HAS_ESTIMATE: u64 = 1;
+const IS_RETRY: u64 = 2;
+
 #[derive(Deserialize)]
 struct RawBatch {
     ts: f64,
@@ -323,12 +327,13 @@
             tenant: self.account.and_then(|account| names.tenant(&account)),
             key: self.order_key.as_deref().map(Key::of),
             remaining: micros(self.remaining),
-            work: match self.opts & 1 {
-                1 => micros(self.estimate),
-                _ => Micros(0),
+            work: match self.opts & HAS_ESTIMATE {
+                0 => Micros(0),
+                _ => micros(self.estimate),
             },
             memory_mb: self.need_mb,
             group: GroupId(self.tables),
+            is_retry: self.opts & IS_RETRY != 0,
         })
     }
 }
@@ -484,3 +489,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -263,6 +263,8 @@
     pub work: Micros,
     pub memory_mb: f64,
     pub group: GroupId,
+    /// The client says that it has tried before, where clients mark that; nothing is decided by it yet.
+    pub is_retry: bool,
 }
 
 impl Query {
