Add a backoff for connects to an engine, free of I/O and clock

Cause: nothing remembers that the last connect was turned away.

Change: `sedgebeam_fleet::reconnect::Backoff` holds this for one engine; nothing uses it yet. At most 8 connects may be without proof at once. After one that failed, or was closed within the connect timeout without an answer, one at a time may be in flight, each after a pause drawn between half and all of a bound that doubles from the connect timeout to 4 s. An answer on a connect begun after the last failure resets it; answers on older connections do not, since an engine at its limit of connections goes on answering on those that it holds.

Limits, asserted: with a connect timeout of 250 ms, an engine that turns all away sees of one dispatcher at most 8 connects at a moment, 11 in any second and 23 in any 24 s; of a fleet at most the sum; from 8 s on at most one of each dispatcher in any 1.98 s, and in any 100 ms at most twice the mean and what chance may add (3, 30, 300, 800).

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cold;
 mod crowd;
 mod health;
+pub mod reconnect;
 
 pub use crowd::Multiple;
 pub use health::{Health, Rests, STRIKES};
