Limit connects to a RESP engine by a backoff, and share what is up meanwhile

Cause: an attempt opened a connection whenever none was idle, with no memory of the last failure. Its end came back at once, mostly as a reset, which sets no engine aside, and the module tried anew.

Change: connections are opened as `sedgebeam_fleet::reconnect` allows. - After a connect that was turned away one at a time is in flight, after a pause that grows. Attempts share connections that have proved good, up to max_streams, never one that has carried the request. - Without one an attempt ends at once. It is ConnectFailed where the engine serves on no connection: Void is not held against an engine, which would look empty and draw all requests. It is Void where the engine serves on others, which are full or have carried the request: that is no fault of the engine's. Probes are held back alike. - A connection to an engine that turned others away carries one attempt until it has answered, or been up for the connect timeout: what is written to one that is closed may have run. - Without a failure too, at most 8 connections may be without proof; attempts beyond share. Where none can be shared (max_streams reached) another is opened as before, so with max_streams 1 a cold burst is bounded only by it and `most`. - One line is logged at the first of a run of failures, one with the count at its end.

Spreading is reduced in this case alone: of a burst of 40 at an engine with no connection, a connection carries 5 and not 1, so a spoilt answer may take up to 5; once connections have answered or are up for the connect timeout, attempts open further ones. Nothing waits for a pause, and what is written when is as it was.

--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -5,6 +5,7 @@
 use crate::slots::Slot;
 use futures::StreamExt;
 use sedgebeam_core::RequestId;
+use sedgebeam_fleet::reconnect::Connect;
 use sedgebeam_operation::Figures;
 use std::collections::VecDeque;
 use std::io;
@@ -28,6 +29,8 @@
     /// It has ended, or never came up; these were not written to it.
     Down {
         unwritten: Vec<RequestId>,
+        /// None where its task died.
+        error: Option<io::Error>,
     },
 }
 
@@ -49,21 +52,26 @@
     pub out: usize,
     pub used: Instant,
     pub heard: Instant,
+    /// What the backoff knows it by.
+    pub connect: Connect,
     carried: VecDeque<RequestId>,
     /// Dropped with this: the task ends, and what it has not written yet stays unwritten.
     _kept: oneshot::Sender<()>,
 }
 
 impl Connection {
-    pub fn open(link: Link, slot: Slot) -> Connection {
+    pub fn open(link: Link, slot: Slot, connect: Connect) -> Connection {
         let (mailbox, commands) = mpsc::channel(MAILBOX);
         let (kept, dropped) = oneshot::channel();
         let (number, dead) = (link.number, link.came.clone());
         let name = format!("connection to {}", link.endpoint);
         let task = link.run(commands, dropped, slot);
         sedgebeam_port::supervise::watch(name, task, move || {
-            let unwritten = Vec::new();
-            tokio::spawn(async move { dead.send((number, Came::Down { unwritten })).await });
+            let down = Came::Down {
+                unwritten: Vec::new(),
+                error: None,
+            };
+            tokio::spawn(async move { dead.send((number, down)).await });
         });
         Connection {
             mailbox,
@@ -72,6 +80,7 @@
             out: 0,
             used: Instant::now(),
             heard: Instant::now(),
+            connect,
             carried: VecDeque::new(),
             _kept: kept,
         }
@@ -140,15 +149,13 @@
         };
         // Its descriptor is closed by now.
         drop(slot);
-        if let Err(error) = ended {
-            log::info!("connection to {}: {error}", self.endpoint);
-        }
         let mut unwritten: Vec<RequestId> = outgoing.unwritten().collect();
         commands.close();
         while let Ok(command) = commands.try_recv() {
             unwritten.extend(fetched(&command));
         }
-        self.tell(Came::Down { unwritten }).await;
+        let error = ended.err();
+        self.tell(Came::Down { unwritten, error }).await;
     }
 
     async fn tell(&self, came: Came) {
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -1,5 +1,9 @@
 //! The actor of an engine that speaks RESP. An answer that is spoilt takes all with it that is out on its
 //! connection, so attempts are spread over as many connections as there may be.
+//!
+//! Connects are limited (`sedgebeam_fleet::reconnect`): an engine that turns connections away would else be called again for
+//! each attempt. While they are, attempts share the connections that have proved good. Without one, an attempt ends at once
+//! as one that never ran, and counts as a failed connect, so that the module turns to other engines.
 
 mod codec;
 mod connection;
@@ -11,11 +15,14 @@
 use connection::{Came, Connection, Link, Number};
 use outgoing::Named;
 use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
-use sedgebeam_port::clock::duration;
+use sedgebeam_fleet::reconnect::{Backoff, Connect, Ended, Pauses, Permit};
+use sedgebeam_port::clock::{duration, span};
 use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
 use sedgebeam_settings::Connections;
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::io;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
@@ -63,6 +70,24 @@
     }
 }
 
+/// Why there is no connection for an attempt.
+#[derive(Clone, Copy, Debug)]
+enum Unconnected {
+    /// None has room for it, and there may be no other: no fault of the engine's.
+    NoRoom,
+    /// The engine turned away the last connect, and serves on no other connection.
+    TurnedAway,
+}
+
+impl Unconnected {
+    fn end(self) -> End {
+        match self {
+            Unconnected::NoRoom => End::Void,
+            Unconnected::TurnedAway => End::ConnectFailed,
+        }
+    }
+}
+
 struct Actor {
     endpoint: String,
     wires: Wires,
@@ -70,6 +95,9 @@
     came: mpsc::Sender<(Number, Came)>,
     connections: HashMap<Number, Connection>,
     next_connection: u64,
+    backoff: Backoff,
+    /// The backoff's times count from here.
+    started: Instant,
     out: HashMap<RequestId, Out>,
     probes: HashMap<u64, Instant>,
     next_probe: u64,
@@ -101,7 +129,7 @@
             },
             Some((number, came)) = incoming.recv() => actor.came(number, came).await,
             Ok(()) = limits.changed() => actor.look().await,
-            Ok(()) = wanted.changed() => actor.connections.retain(|_, connection| connection.busy()),
+            Ok(()) = wanted.changed() => actor.close_idle(|_| true),
             () = sleep_until(look.unwrap_or_else(Instant::now)), if look.is_some() => actor.look().await,
         }
     }
@@ -114,6 +142,8 @@
         reports: Reports,
         came: mpsc::Sender<(Number, Came)>,
     ) -> Actor {
+        // Drawn anew in each process, so that dispatchers do not call an engine together.
+        let seed = RandomState::new().hash_one(&endpoint);
         Actor {
             endpoint,
             wires,
@@ -121,6 +151,8 @@
             came,
             connections: HashMap::new(),
             next_connection: 0,
+            backoff: Backoff::new(seed),
+            started: Instant::now(),
             out: HashMap::new(),
             probes: HashMap::new(),
             next_probe: 0,
@@ -179,9 +211,9 @@
 
     async fn send(&mut self, attempt: Attempt) {
         let (id, number) = (attempt.request, attempt.number);
-        let Some(connection) = self.connection_for(Some(id)) else {
-            // That there is no slot for another connection is no fault of the engine's.
-            return self.reports.ended(id, number, End::Void).await;
+        let connection = match self.connection_for(Some(id)) {
+            Ok(connection) => connection,
+            Err(why) => return self.reports.ended(id, number, why.end()).await,
         };
         let up = match self.connections.get_mut(&connection) {
             Some(connection) => {
@@ -245,48 +277,93 @@
     }
 
     /// The connection that was idle least long, or a new one while there may be more, or the one that carries
-    /// least. None that has carried this request before, nor one that is of no further use.
-    fn connection_for(&mut self, request: Option<RequestId>) -> Option<Number> {
-        let most = self.settings().max_streams;
+    /// least.
+    fn connection_for(&mut self, request: Option<RequestId>) -> Result<Number, Unconnected> {
+        let shared = self.least_loaded(request);
+        let idle = |number: Number| self.connections.get(&number).is_some_and(|c| c.out == 0);
+        if let Some(number) = shared
+            && (request.is_none() || idle(number))
+        {
+            return Ok(number);
+        }
+        match (self.backoff.permit(self.now()), shared) {
+            (Permit::HeldBack, None) => Err(self.why_unconnected()),
+            (Permit::HeldBack | Permit::ShareFirst, Some(number)) => Ok(number),
+            (Permit::Granted | Permit::ShareFirst, _) => {
+                let opened = self.open(shared.is_none());
+                opened.or(shared).ok_or(Unconnected::NoRoom)
+            }
+        }
+    }
+
+    /// The connection that carries least, of those that have room. None that has carried this request before, nor one that
+    /// is of no further use. While the engine turns connections away, one that has not proved good carries one attempt at a
+    /// time: all that is written to it may be lost.
+    fn least_loaded(&self, request: Option<RequestId>) -> Option<Number> {
+        let (now, most) = (self.now(), self.settings().max_streams);
         let fit = self.connections.iter().filter(|(_, connection)| {
             let again = request.is_some_and(|id| connection.has_carried(id));
-            !connection.spent && connection.out < most && !again
+            let alone = self.backoff.is_failing()
+                && connection.out > 0
+                && !self.backoff.is_proven(&connection.connect, now);
+            !connection.spent && connection.out < most && !again && !alone
         });
         let least =
             |connection: &Connection| (Reverse(connection.out), connection.up, connection.used);
         let best = fit.max_by_key(|(number, connection)| (least(connection), number.0));
-        let full = self.connections.len() >= self.settings().most;
-        if let Some((number, connection)) = best
-            && (request.is_none() || connection.out == 0)
-        {
-            return Some(*number);
-        }
-        let shared = best.map(|(number, _)| *number);
-        let slot = if full {
-            None
-        } else {
-            self.wires.slots.take(self.settings().in_all)
+        best.map(|(number, _)| *number)
+    }
+
+    /// Why an attempt has no connection while connects are held back.
+    fn why_unconnected(&self) -> Unconnected {
+        let now = self.now();
+        let serves = |connection: &Connection| {
+            !connection.spent && self.backoff.is_proven(&connection.connect, now)
         };
-        let Some(slot) = slot else {
-            if shared.is_none() && !full {
+        if self.connections.values().any(serves) {
+            Unconnected::NoRoom
+        } else {
+            Unconnected::TurnedAway
+        }
+    }
+
+    /// Opens a connection, where there may be one more and a slot is free. Where it is needed, others hear that a slot is
+    /// wanted.
+    fn open(&mut self, needed: bool) -> Option<Number> {
+        let settings = self.settings();
+        if self.connections.len() >= settings.most {
+            return None;
+        }
+        let Some(slot) = self.wires.slots.take(settings.in_all) else {
+            if needed {
                 self.wires.slots.want();
             }
-            return shared;
+            return None;
         };
         self.next_connection += 1;
         let number = Number(self.next_connection);
         let link = Link {
             number,
             endpoint: self.endpoint.clone(),
-            limit: duration(self.settings().connect_timeout),
+            limit: duration(settings.connect_timeout),
             came: self.came.clone(),
             figures: self.wires.figures.clone(),
         };
-        let connection = Connection::open(link, slot);
+        let connect = self.backoff.begin(self.now());
+        let connection = Connection::open(link, slot, connect);
         self.connections.insert(number, connection);
         Some(number)
     }
 
+    /// The time for the backoff.
+    fn now(&self) -> u64 {
+        span(self.started.elapsed()).0
+    }
+
+    fn pauses(&self) -> Pauses {
+        Pauses::new(self.settings().connect_timeout.0)
+    }
+
     /// Hands a command to a connection; false where it is full or gone.
     fn command(&self, number: Number, command: Command) -> bool {
         let connection = self.connections.get(&number);
@@ -408,8 +485,10 @@
     async fn came(&mut self, number: Number, came: Came) {
         match came {
             Came::Up => {
+                let (now, pauses) = (self.now(), self.pauses());
                 if let Some(connection) = self.connections.get_mut(&number) {
                     connection.up = true;
+                    self.backoff.came_up(&connection.connect, now, &pauses);
                 }
                 let waiting = self.out.iter().filter(|(_, out)| out.connection == number);
                 let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
@@ -419,14 +498,12 @@
             }
             Came::Reply(reply) => self.reply(number, reply).await,
             Came::Withdrawn(named) => self.withdrawn(number, named).await,
-            Came::Down { unwritten } => self.down(number, &unwritten).await,
+            Came::Down { unwritten, error } => self.down(number, &unwritten, error).await,
         }
     }
 
     async fn reply(&mut self, connection: Number, reply: Reply) {
-        if let Some(connection) = self.connections.get_mut(&connection) {
-            connection.heard = Instant::now();
-        }
+        self.heard_on(connection);
         let id = match reply.about {
             About::Request(id) => id,
             About::Tag(tag) => return self.probed(tag, reply.word).await,
@@ -470,8 +547,45 @@
 
     // ---- Connections ----
 
-    async fn down(&mut self, number: Number, unwritten: &[RequestId]) {
-        self.connections.remove(&number);
+    /// A word came on a connection.
+    fn heard_on(&mut self, number: Number) {
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        connection.heard = Instant::now();
+        if let Some(failed) = self.backoff.answered(&mut connection.connect) {
+            log::info!(
+                "connects to {} succeed again, after {failed} that failed",
+                self.endpoint
+            );
+        }
+    }
+
+    /// A connection has ended, or did not come up.
+    async fn down(&mut self, number: Number, unwritten: &[RequestId], error: Option<io::Error>) {
+        if let Some(connection) = self.connections.remove(&number) {
+            self.connect_ended(connection.connect, error);
+        }
+        self.lose(number, unwritten).await;
+    }
+
+    /// Logs a run of failed connects once, and each end of a connection that was good.
+    fn connect_ended(&mut self, connect: Connect, error: Option<io::Error>) {
+        let (now, pauses) = (self.now(), self.pauses());
+        let ended = self.backoff.ended(connect, now, &pauses);
+        let why = error.map_or("its task died".to_string(), |error| error.to_string());
+        match ended {
+            Ended::Proven => log::info!("connection to {}: {why}", self.endpoint),
+            Ended::FirstFailure => log::info!(
+                "connects to {} fail: {why}; those that follow are counted",
+                self.endpoint
+            ),
+            Ended::FurtherFailure => {}
+        }
+    }
+
+    /// Ends all attempts that were out on a connection that is gone.
+    async fn lose(&mut self, number: Number, unwritten: &[RequestId]) {
         let here = self.out.extract_if(|_, out| out.connection == number);
         let lost: Vec<(RequestId, Out)> = here.collect();
         for (id, out) in lost {
@@ -489,7 +603,20 @@
     /// Lets a connection go that is of no further use though it stays open, with all that is out on it.
     async fn abandon(&mut self, number: Number, why: &str) {
         log::info!("connection to {}: abandoned: {why}", self.endpoint);
-        self.down(number, &[]).await;
+        if let Some(connection) = self.connections.remove(&number) {
+            self.backoff.closed(connection.connect);
+        }
+        self.lose(number, &[]).await;
+    }
+
+    /// Closes the idle connections of which this is true.
+    fn close_idle(&mut self, mut goes: impl FnMut(&Connection) -> bool) {
+        let idle = self
+            .connections
+            .extract_if(|_, connection| !connection.busy() && goes(connection));
+        for (_, connection) in idle {
+            self.backoff.closed(connection.connect);
+        }
     }
 
     /// What waits for a connection to come up has not been written and is taken back, all of it before the first is
@@ -515,14 +642,11 @@
         let now = Instant::now();
         let idle = duration(self.settings().idle).mul_f64(IDLE_PART);
         let (mut open, most) = (self.connections.len(), self.settings().most);
-        self.connections.retain(|_, connection| {
-            let busy = connection.busy();
+        self.close_idle(|connection| {
             // Fewer may be open than were: idle ones go at once.
             let goes = connection.spent || now >= connection.used + idle || open > most;
-            if goes && !busy {
-                open -= 1;
-            }
-            busy || !goes
+            open -= usize::from(goes);
+            goes
         });
         let stopped = self.out.values().filter(|out| {
             let result = out.result.as_ref();
@@ -545,7 +669,7 @@
         self.next_probe += 1;
         let tag = self.next_probe;
         let connection = self.connection_for(None);
-        if connection.is_some_and(|number| self.command(number, Command::Stats(tag))) {
+        if connection.is_ok_and(|number| self.command(number, Command::Stats(tag))) {
             self.probes.insert(tag, Instant::now());
         } else {
             self.reports
--- a/engines/src/resp/tests.rs
+++ b/engines/src/resp/tests.rs
@@ -4,7 +4,570 @@
 use crate::Slots;
 use sedgebeam_core::EngineId;
 use sedgebeam_operation::Figures;
+use sedgebeam_port::{EngineBox, ToBroker};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Once, PoisonError};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::yield_now;
+use tokio::time::advance;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const STEP: Duration = Duration::from_millis(10);
+/// Looks after which what is waited for is taken not to come.
+const LOOKS: usize = 20_000_000;
+/// The longest pause between two connects.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Connects of one dispatcher that may be without proof at once.
+const IN_FLIGHT: usize = 8;
+
+/// Connects of one dispatcher in this time at the most, to an engine that turns all away: those in flight together, and one
+/// after each pause, of which none is shorter than half of its bound.
+fn most_connects(time: Duration) -> usize {
+    let (mut connects, mut at, mut bound) = (IN_FLIGHT, Duration::ZERO, CONNECT_TIMEOUT);
+    loop {
+        at += bound / 2;
+        if at > time {
+            return connects;
+        }
+        connects += 1;
+        bound = (2 * bound).min(LONGEST_PAUSE);
+    }
+}
+
+// ---- A stand-in engine ----
+
+/// How a stand-in engine serves.
+#[derive(Clone, Copy)]
+struct Service {
+    /// Connections held at once; it closes what comes beyond them at once.
+    connections: usize,
+    /// Its word to every request; none, and it keeps it without an answer.
+    word: Option<&'static str>,
+}
+
+const TURNS_ALL_AWAY: Service = Service {
+    connections: 0,
+    word: None,
+};
+const WELL: Service = Service {
+    connections: usize::MAX,
+    word: Some("OK"),
+};
+
+/// What a stand-in engine has seen.
+#[derive(Default)]
+struct Seen {
+    accepts: AtomicUsize,
+    held: AtomicUsize,
+    /// How often each request was written, by its name.
+    fetches: Mutex<BTreeMap<String, usize>>,
+}
+
+struct StandIn {
+    address: SocketAddr,
+    service: watch::Sender<Service>,
+    seen: Arc<Seen>,
+}
+
+impl StandIn {
+    async fn start(service: Service) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let address = listener.local_addr().expect("an address");
+        let (service, served) = watch::channel(service);
+        let seen = Arc::new(Seen::default());
+        tokio::spawn(accept(listener, served, seen.clone()));
+        StandIn {
+            address,
+            service,
+            seen,
+        }
+    }
+
+    fn accepts(&self) -> usize {
+        self.seen.accepts.load(Ordering::Relaxed)
+    }
+
+    fn held(&self) -> usize {
+        self.seen.held.load(Ordering::Relaxed)
+    }
+
+    /// The most that any request was written.
+    fn most_fetches(&self) -> usize {
+        let fetches = self.seen.fetches.lock().expect("no test has failed");
+        fetches.values().copied().max().unwrap_or(0)
+    }
+}
+
+async fn accept(listener: TcpListener, service: watch::Receiver<Service>, seen: Arc<Seen>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        seen.accepts.fetch_add(1, Ordering::Relaxed);
+        if seen.held.load(Ordering::Relaxed) < service.borrow().connections {
+            seen.held.fetch_add(1, Ordering::Relaxed);
+            let (service, seen) = (service.clone(), seen.clone());
+            tokio::spawn(async move {
+                serve(stream, service, &seen).await;
+                seen.held.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    }
+}
+
+/// Answers until the connection is closed.
+async fn serve(stream: TcpStream, service: watch::Receiver<Service>, seen: &Seen) {
+    let (read_half, mut write_half) = stream.into_split();
+    let mut commands = BufReader::new(read_half);
+    while let Some(command) = command(&mut commands).await {
+        let name = &command[1];
+        let word = match command[0].as_str() {
+            "fetch" => {
+                let mut fetches = seen.fetches.lock().expect("no test has failed");
+                *fetches.entry(name.clone()).or_default() += 1;
+                service.borrow().word
+            }
+            "stats" => Some("UP"),
+            _ => None,
+        };
+        let Some(word) = word else { continue };
+        let (name_length, word_length) = (name.len(), word.len());
+        let answer = format!(
+            "*4\r\n${name_length}\r\n{name}\r\n${word_length}\r\n{word}\r\n$7\r\nparts=1\r\n$6\r\na\tb\tc\n\r\n"
+        );
+        if write_half.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The next command, an array of bulk strings.
+async fn command(commands: &mut BufReader<OwnedReadHalf>) -> Option<Vec<String>> {
+    let parts = count(commands).await?;
+    let mut command = Vec::new();
+    for _ in 0..parts {
+        let mut part = vec![0; count(commands).await? + 2];
+        commands.read_exact(&mut part).await.ok()?;
+        part.truncate(part.len() - 2);
+        command.push(String::from_utf8(part).ok()?);
+    }
+    Some(command)
+}
+
+async fn count(commands: &mut BufReader<OwnedReadHalf>) -> Option<usize> {
+    let mut line = String::new();
+    commands.read_line(&mut line).await.ok()?;
+    line.get(1..)?.trim_end().parse().ok()
+}
+
+// ---- A dispatcher ----
+
+fn connections() -> Connections {
+    Connections {
+        most: 64,
+        in_all: 1024,
+        max_streams: 32,
+        connect_timeout: span(CONNECT_TIMEOUT),
+        idle: Micros::from_millis(30_000),
+        max_open: 1000,
+    }
+}
+
+/// The actor of one engine, and the reports that come of it.
+struct Dispatcher {
+    mailbox: EngineBox,
+    told: mpsc::Receiver<ToBroker>,
+    sent: Vec<(RequestId, AttemptNo)>,
+    ends: Vec<(RequestId, AttemptNo, End)>,
+    probes: Vec<Probe>,
+}
+
+impl Dispatcher {
+    fn start(engine: &StandIn) -> Dispatcher {
+        Dispatcher::start_with(engine, connections())
+    }
+
+    fn start_with(engine: &StandIn, connections: Connections) -> Dispatcher {
+        let wires = Wires {
+            connections: watch::channel(connections).1,
+            figures: Figures::default(),
+            slots: Slots::default(),
+        };
+        let (mailbox, incoming) = mpsc::channel(1024);
+        let (broker, told) = mpsc::channel(1024);
+        let reports = Reports::new(EngineId(1), broker);
+        tokio::spawn(run(engine.address.to_string(), wires, incoming, reports));
+        Dispatcher {
+            mailbox,
+            told,
+            sent: Vec::new(),
+            ends: Vec::new(),
+            probes: Vec::new(),
+        }
+    }
+
+    /// Sends the first attempt of a new request.
+    fn send(&mut self) {
+        self.send_again(RequestId(self.sent.len() as u64), AttemptNo(0));
+    }
+
+    fn send_again(&mut self, request: RequestId, number: AttemptNo) {
+        let timeout = Duration::from_secs(60);
+        let attempt = Attempt {
+            request,
+            number,
+            class: "lookup".into(),
+            timeout,
+            rank: 1,
+            statement: Bytes::from_static(b"SELECT 1"),
+            token: None,
+            order_key: None,
+            cancelled: CancellationToken::new(),
+            starts_by: Instant::now() + timeout,
+        };
+        self.sent.push((request, number));
+        let told = self.mailbox.try_send(ToEngine::Send(attempt));
+        told.expect("room in the mailbox");
+    }
+
+    fn probe(&mut self) {
+        let told = self.mailbox.try_send(ToEngine::Probe);
+        told.expect("room in the mailbox");
+    }
+
+    fn hear(&mut self) {
+        while let Ok(told) = self.told.try_recv() {
+            match told {
+                ToBroker::Engine(_, Report::Ended(request, number, end)) => {
+                    self.ends.push((request, number, end));
+                }
+                ToBroker::Engine(_, Report::Probed(probe)) => self.probes.push(probe),
+                _ => {}
+            }
+        }
+    }
+
+    /// Waits until all that was sent has ended; the clock stands still.
+    async fn settle(&mut self) {
+        let sent = self.sent.len();
+        self.wait_for(|dispatcher| dispatcher.ends.len() >= sent)
+            .await;
+    }
+
+    /// A test that never rests keeps the paused clock from going on by itself.
+    async fn wait_for(&mut self, done: impl Fn(&Dispatcher) -> bool) {
+        for _ in 0..LOOKS {
+            self.hear();
+            if done(self) {
+                return;
+            }
+            yield_now().await;
+        }
+        panic!("{} sent, {} ended", self.sent.len(), self.ends.len());
+    }
+
+    /// Sends one attempt after the other, each after a step of time, and waits for each.
+    async fn send_for(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.send();
+            self.settle().await;
+            advance(STEP).await;
+        }
+    }
+
+    fn last_end(&self) -> &End {
+        &self.ends.last().expect("an attempt has ended").2
+    }
+
+    fn served(&self) -> usize {
+        let ends = self.ends.iter();
+        ends.filter(|(_, _, end)| matches!(end, End::Ok { .. }))
+            .count()
+    }
+
+    /// All that was sent has ended, and nothing twice.
+    async fn assert_each_ended_once(&mut self) {
+        self.settle().await;
+        for _ in 0..1000 {
+            yield_now().await;
+        }
+        self.hear();
+        let mut ended: Vec<_> = self.ends.iter().map(|end| (end.0, end.1)).collect();
+        ended.sort();
+        self.sent.sort();
+        assert_eq!(ended, self.sent);
+    }
+}
+
+// ---- What is logged ----
+
+/// Keeps all lines, of all tests together.
+struct Lines(Mutex<Vec<String>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record) {
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        log::set_logger(&LINES).expect("no other logger");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+}
+
+fn lines_about(engine: &StandIn) -> Vec<String> {
+    let address = engine.address.to_string();
+    let lines = LINES.0.lock().unwrap_or_else(PoisonError::into_inner);
+    // Another's port may begin with the same digits.
+    let about = |line: &str| {
+        line.split_once(&address)
+            .is_some_and(|(_, rest)| !rest.starts_with(|next: char| next.is_ascii_digit()))
+    };
+    let about = lines.iter().filter(|line| about(line));
+    about.cloned().collect()
+}
+
+// ---- Tests ----
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_closes_at_once_is_not_called_again_for_each_attempt() {
+    let engine = StandIn::start(TURNS_ALL_AWAY).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    for _ in 0..200 {
+        dispatcher.send();
+        dispatcher.settle().await;
+    }
+    assert_eq!(engine.accepts(), 1, "at one moment");
+    assert!(matches!(dispatcher.last_end(), End::ConnectFailed));
+    let time = Duration::from_secs(24);
+    dispatcher.send_for(time).await;
+    let (accepts, most) = (engine.accepts(), most_connects(time));
+    assert!(accepts <= most, "{accepts} connects, {most} stated");
+    assert!(accepts >= 6, "it is tried again: {accepts}");
+    dispatcher.assert_each_ended_once().await;
+    assert_eq!(dispatcher.served(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_burst_at_an_engine_that_closes_at_once_opens_few_connections() {
+    let engine = StandIn::start(TURNS_ALL_AWAY).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    for _ in 0..5 {
+        for _ in 0..40 {
+            dispatcher.send();
+        }
+        dispatcher.settle().await;
+    }
+    assert!(engine.accepts() <= IN_FLIGHT, "{}", engine.accepts());
+    dispatcher.assert_each_ended_once().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn several_dispatchers_together_call_no_more_than_each_may() {
+    const DISPATCHERS: usize = 32;
+    let engine = StandIn::start(TURNS_ALL_AWAY).await;
+    let dispatchers = (0..DISPATCHERS).map(|_| Dispatcher::start(&engine));
+    let mut dispatchers: Vec<Dispatcher> = dispatchers.collect();
+    let time = Duration::from_secs(8);
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        for dispatcher in &mut dispatchers {
+            for _ in 0..3 {
+                dispatcher.send();
+            }
+        }
+        for dispatcher in &mut dispatchers {
+            dispatcher.settle().await;
+        }
+        advance(5 * STEP).await;
+    }
+    let (accepts, most) = (engine.accepts(), DISPATCHERS * most_connects(time));
+    assert!(accepts <= most, "{accepts} connects, {most} stated");
+    for dispatcher in &mut dispatchers {
+        dispatcher.assert_each_ended_once().await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_is_well_again_is_used_again_and_the_log_tells_of_the_run_in_two_lines() {
+    keep_lines();
+    let engine = StandIn::start(TURNS_ALL_AWAY).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    dispatcher.send_for(Duration::from_secs(10)).await;
+    let failed = engine.accepts();
+    assert_eq!(lines_about(&engine).len(), 1, "{:?}", lines_about(&engine));
+    engine.service.send_replace(WELL);
+    dispatcher.send_for(LONGEST_PAUSE).await;
+    assert!(matches!(dispatcher.last_end(), End::Ok { .. }));
+    let lines = lines_about(&engine);
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(
+        lines[1].contains(&format!("after {failed} that failed")),
+        "{lines:?}"
+    );
+    // Attempts are spread over connections again.
+    engine.service.send_replace(Service { word: None, ..WELL });
+    let held = engine.held();
+    for _ in 0..6 {
+        dispatcher.send();
+    }
+    let sent = dispatcher.sent.len();
+    dispatcher.wait_for(|_| engine.held() >= held + 5).await;
+    assert_eq!(dispatcher.ends.len(), sent - 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn attempts_share_the_connections_of_an_engine_at_its_limit_of_them() {
+    let two = Service {
+        connections: 2,
+        word: Some("OK"),
+    };
+    let engine = StandIn::start(two).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    dispatcher.send();
+    dispatcher.settle().await;
+    let time = Duration::from_secs(8);
+    let until = Instant::now() + time;
+    let mut bursts = 0;
+    while Instant::now() < until {
+        for _ in 0..20 {
+            dispatcher.send();
+        }
+        dispatcher.settle().await;
+        advance(5 * STEP).await;
+        bursts += 1;
+    }
+    // Each call that was turned away took what was on it; answers on the two that are up bring no more calls.
+    let (accepts, most) = (engine.accepts(), 2 + most_connects(time));
+    assert!(accepts <= most, "{accepts} connects, {most} stated");
+    let lost = dispatcher.sent.len() - dispatcher.served();
+    assert!(lost <= 20 + accepts, "{lost} lost in {bursts} bursts");
+    assert!(engine.most_fetches() == 1);
+    dispatcher.assert_each_ended_once().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_to_an_engine_that_turned_others_away_carries_one_attempt_until_it_has_proved_good()
+ {
+    let engine = StandIn::start(TURNS_ALL_AWAY).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    dispatcher.send();
+    dispatcher.settle().await;
+    engine.service.send_replace(Service { word: None, ..WELL });
+    advance(CONNECT_TIMEOUT).await;
+    for _ in 0..5 {
+        dispatcher.send();
+    }
+    dispatcher
+        .wait_for(|dispatcher| dispatcher.ends.len() >= 5)
+        .await;
+    let fetched = || engine.seen.fetches.lock().is_ok_and(|f| f.len() == 1);
+    dispatcher.wait_for(|_| fetched()).await;
+    assert_eq!((engine.held(), dispatcher.ends.len()), (1, 5));
+    assert!(matches!(dispatcher.last_end(), End::ConnectFailed));
+    // It was not closed within the time in which engines turn connections away.
+    advance(CONNECT_TIMEOUT).await;
+    for _ in 0..5 {
+        dispatcher.send();
+    }
+    let fetched = |count| engine.seen.fetches.lock().is_ok_and(|f| f.len() == count);
+    dispatcher.wait_for(|_| fetched(6)).await;
+    assert_eq!((engine.held(), dispatcher.ends.len()), (2, 5));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_for_which_no_connection_is_left_is_no_fault_of_an_engine_that_serves() {
+    let one = Service {
+        connections: 1,
+        word: Some("BUSY"),
+    };
+    let engine = StandIn::start(one).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    let mut ends = Vec::new();
+    for number in 0..3 {
+        dispatcher.send_again(RequestId(7), AttemptNo(number));
+        dispatcher.settle().await;
+        ends.push(dispatcher.last_end().clone());
+    }
+    assert_eq!(ends[0], End::Busy);
+    assert!(
+        matches!(ends[1], End::ConnectFailed | End::Reset),
+        "turned away: {ends:?}"
+    );
+    assert_eq!(ends[2], End::Void, "not on the connection that carried it");
+    assert_eq!((engine.accepts(), engine.most_fetches()), (2, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn probes_are_held_back_alike() {
+    let engine = StandIn::start(TURNS_ALL_AWAY).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    dispatcher.send();
+    dispatcher.settle().await;
+    for asked in 1..=100 {
+        dispatcher.probe();
+        dispatcher
+            .wait_for(|dispatcher| dispatcher.probes.len() == asked)
+            .await;
+    }
+    let refused = |probe: &Probe| matches!(probe, Probe::ConnectFailed);
+    assert!(dispatcher.probes.iter().all(refused));
+    assert_eq!(engine.accepts(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cold_burst_is_spread_over_few_connections_and_later_attempts_over_more() {
+    let silent = Service { word: None, ..WELL };
+    let engine = StandIn::start(silent).await;
+    let mut dispatcher = Dispatcher::start(&engine);
+    for _ in 0..40 {
+        dispatcher.send();
+    }
+    let written = |_: &Dispatcher| engine.seen.fetches.lock().is_ok_and(|f| f.len() >= 40);
+    dispatcher.wait_for(written).await;
+    assert_eq!(engine.accepts(), IN_FLIGHT);
+    // They are up for so long by then that they were not turned away.
+    advance(CONNECT_TIMEOUT).await;
+    for _ in 0..4 {
+        dispatcher.send();
+    }
+    dispatcher
+        .wait_for(|_| engine.held() == IN_FLIGHT + 4)
+        .await;
+    assert_eq!(engine.most_fetches(), 1);
+    assert!(dispatcher.ends.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn attempts_that_can_not_share_open_connections_of_their_own() {
+    let engine = StandIn::start(WELL).await;
+    let alone = Connections {
+        max_streams: 1,
+        ..connections()
+    };
+    let mut dispatcher = Dispatcher::start_with(&engine, alone);
+    for _ in 0..40 {
+        dispatcher.send();
+    }
+    dispatcher.settle().await;
+    assert_eq!(dispatcher.served(), 40);
+    dispatcher.assert_each_ended_once().await;
+}
 
 #[tokio::test]
 async fn an_engine_with_nothing_out_and_no_connection_has_nobody_wake() {
