Let a light class go ahead on busy engines, and tell bad plans from jammed engines

Change: told load bounds a light class only at twice the level where priorities are heeded (has_slot); an attempt that hardly moves says nothing of its engine if that has answered another quickly since the attempt was sent (jammed, bad_plan), and is judged by what a starting engine can do; a right on a cold engine lasts as many windows as the rule leaves room for where all that the engine can do is granted (two where it allows four times that, as before); connections to one engine are four a core over all dispatchers.

--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -139,12 +139,15 @@
         wrong("workers", why)
     })?;
     let engines = roster::fold(known.changes.clone()).len();
-    let to_engine = limits::engine_connections(descriptors.engines, engines);
+    let told = facts.connections();
+    // One for each shard, however many dispatchers there are.
+    let told_most = told.most.max(shards);
+    let to_engine = limits::engine_connections(descriptors.engines, engines).min(told_most);
     let connections = Connections {
-        max_open: limits.max_open(facts.connections().max_open),
+        max_open: limits.max_open(told.max_open),
         in_all: descriptors.engines,
         most: checks::connections_per_shard(to_engine, shards)?,
-        ..facts.connections()
+        ..told
     };
     let listen = checks::address("listen", keys.listen.as_deref())?;
     let (text, file) = match platform {
--- a/fleet/src/cold.rs
+++ b/fleet/src/cold.rs
@@ -10,8 +10,9 @@
 //! its point again, with nothing granted: of any number that do so at one moment, those that open a right soon are
 //! as many as of others, since their points are spread alike.
 
-/// A right lasts for so many windows.
-const LASTS: u64 = 2;
+/// A right lasts for so many windows at the most, and at least.
+const LONGEST_LIFE: f64 = 2.0;
+const SHORTEST_LIFE: f64 = 0.5;
 /// Share of what the rule allows that is granted: weights are estimates. Where it allows four times what an
 /// engine can do, just that is granted.
 const MARGIN: f64 = 0.75;
@@ -38,13 +39,23 @@
     /// How likely a right is used while it is open, where so many requests that could use it come a second. A right that
     /// nobody comes for is lost, so what is granted goes to classes by the work that they will bring.
     pub fn met(&self, rate: f64) -> f64 {
-        let life = (LASTS * self.window) as f64 / 1e6;
+        let life = self.life() as f64 / 1e6;
         1.0 - (-rate * life).exp()
     }
 
     /// Share of what it can do that is granted.
     fn margin(&self) -> f64 {
-        (self.multiple * MARGIN / (1 + LASTS) as f64).min(1.0)
+        (self.multiple * MARGIN / (1.0 + self.life_in_windows())).min(1.0)
+    }
+
+    /// How many windows a right lasts: as many as the rule leaves room for where all that an engine can do is granted.
+    fn life_in_windows(&self) -> f64 {
+        (self.multiple * MARGIN - 1.0).clamp(SHORTEST_LIFE, LONGEST_LIFE)
+    }
+
+    /// How long a right lasts.
+    fn life(&self) -> u64 {
+        (self.life_in_windows() * self.window as f64) as u64
     }
 
     /// Work granted to one gateway, in core seconds, for the time since an engine's start.
@@ -107,7 +118,7 @@
                 // that it is lost: the rights of many would else be used at the moment at which they all look.
                 right.credit %= 1.0;
                 let since = right.credit / grown * now.saturating_sub(at) as f64;
-                right.open_until = now.saturating_sub(since as u64) + LASTS * warming.window;
+                right.open_until = now.saturating_sub(since as u64) + warming.life();
             }
         }
     }
--- a/fleet/src/health.rs
+++ b/fleet/src/health.rs
@@ -55,6 +55,8 @@
     /// It was jammed when last seen, and may be until then.
     jammed_until: u64,
     jams: u32,
+    /// When it last answered about as quickly as an engine with nothing else to do.
+    quick_answer_at: Option<u64>,
 }
 
 impl Health {
@@ -118,6 +120,16 @@
         }
     }
 
+    /// It answered about as quickly as an engine with nothing else to do.
+    pub fn answered_quickly(&mut self, now: u64) {
+        self.quick_answer_at = Some(now);
+    }
+
+    /// Whether it has answered so since: then an attempt that hardly moves there has a bad plan, and the engine is not jammed.
+    pub fn has_answered_quickly_since(&self, since: u64) -> bool {
+        self.quick_answer_at.is_some_and(|at| at > since)
+    }
+
     /// What it was sent hardly moves: it rests, longer each time that it is found so; true if that is new.
     pub fn jammed(&mut self, now: u64, rests: Rests, draw: f64) -> bool {
         if now < self.jammed_until {
--- a/fleet/tests/cold.rs
+++ b/fleet/tests/cold.rs
@@ -27,9 +27,20 @@
     cores: f64,
     classes: &[(f64, f64)],
     hoard: u64,
+    restarts: (u64, f64, u64),
+) -> Vec<(u64, f64)> {
+    sends_under(warming(gateways), cores, classes, hoard, restarts)
+}
+
+/// The same under any terms.
+fn sends_under(
+    warming: Warming,
+    cores: f64,
+    classes: &[(f64, f64)],
+    hoard: u64,
     (at, share, steps): (u64, f64, u64),
 ) -> Vec<(u64, f64)> {
-    let warming = warming(gateways);
+    let gateways = warming.gateways as u32;
     let mut sends = Vec::new();
     for me in 0..gateways {
         let mut rights = Rights::default();
@@ -63,7 +74,11 @@
 
 /// The most work within a window, over what the rule allows there.
 fn worst(sends: &[(u64, f64)], cores: f64) -> f64 {
-    let warming = warming(1);
+    worst_under(warming(1), sends, cores)
+}
+
+/// The same under any terms.
+fn worst_under(warming: Warming, sends: &[(u64, f64)], cores: f64) -> f64 {
     let window = |at: u64| {
         let within = sends
             .iter()
@@ -202,3 +217,38 @@
     let met = [0.0, 0.25, 0.5, 3.0].map(|rate| warming.met(rate));
     assert!(met[0] == 0.0 && met[3] > 0.95 && met.is_sorted(), "{met:?}");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+    /// Whatever multiple of its capacity the rule lets a cold engine bear: rights last longer the more it is.
+    #[test]
+    fn no_window_holds_more_whatever_the_rule_allows(
+        gateways in prop::sample::select(vec![8u32, 32, 100, 300, 800]),
+        multiple in 2.0f64..6.0,
+        heavy in 1.0f64..4.5,
+        part in 0.1f64..0.9,
+        hoard in 1u64..2000,
+    ) {
+        let classes = [(part, 0.08), (1.0 - part, heavy)];
+        let terms = Warming { multiple, ..warming(gateways) };
+        let sends = sends_under(terms, 12.0, &classes, hoard * MS, (0, 0.0, 0));
+        let worst = worst_under(terms, &sends, 12.0);
+        prop_assert!(worst <= 1.0, "{worst}");
+    }
+}
+
+/// Where the rule leaves room for it, all that a cold engine can do is granted.
+#[test]
+fn all_that_an_engine_can_do_is_granted_where_rights_may_be_short() {
+    let granted = |multiple| {
+        let terms = Warming {
+            multiple,
+            ..warming(1)
+        };
+        let second = terms.granted(14_000 * MS, 1.0) - terms.granted(13_000 * MS, 1.0);
+        second / terms.able(13_500 * MS)
+    };
+    assert!((granted(3.0) - 1.0).abs() < 0.01, "{}", granted(3.0));
+    assert!((granted(4.0) - 1.0).abs() < 0.01, "{}", granted(4.0));
+    assert!(granted(1.5) < 0.8, "{}", granted(1.5));
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -208,6 +208,13 @@
     }
 }
 
+/// Connections that all dispatchers together keep to one engine, for each of its cores: twice the threads that an engine runs
+/// on a core under pressure.
+const CONNECTIONS_PER_CORE: f64 = 4.0;
+/// Bounds of one dispatcher's part.
+const FEWEST_CONNECTIONS: usize = 2;
+const MOST_CONNECTIONS: usize = 24;
+
 impl Facts {
     pub fn names(&self) -> Names {
         let domain = self.domain.as_ref();
@@ -226,7 +233,7 @@
     pub fn connections(&self) -> Connections {
         let limits = self.limits.clone().unwrap_or_default();
         Connections {
-            most: 24,
+            most: self.connections_to_engine(),
             in_all: usize::MAX,
             max_streams: limits.max_streams.unwrap_or(32).max(1) as usize,
             connect_timeout: micros(limits.connect_timeout.unwrap_or(250.0)),
@@ -235,6 +242,20 @@
         }
     }
 
+    /// Connections that this dispatcher keeps to one engine at the most, so that all dispatchers together leave room in
+    /// the engine's table, whose size is told nowhere.
+    fn connections_to_engine(&self) -> usize {
+        let domain = self.domain.clone().unwrap_or_default();
+        let cores = list(&domain.size_cores).iter().copied().fold(0.0, f64::max);
+        let dispatchers = f64::from(self.balancers.unwrap_or(1).max(1));
+        let part = (cores * CONNECTIONS_PER_CORE / dispatchers).ceil();
+        if cores > 0.0 {
+            (part as usize).clamp(FEWEST_CONNECTIONS, MOST_CONNECTIONS)
+        } else {
+            MOST_CONNECTIONS
+        }
+    }
+
     /// How many gateways there are, and the number of this one among them, where told.
     pub fn fleet(&self) -> (Option<u32>, Option<u32>) {
         (self.balancers, self.me)
@@ -343,20 +364,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn absent_keys_have_their_defaults_and_unknown_ones_are_skipped() {
-        let text = r#"{"unheard_of": [1, {"deep": null}], "zones": ["a", "b"], "zone": "b",
-            "services": [{"name": "load"}], "limits": {"max_retry_after": 500}}"#;
-        let facts: Facts = miniserde::json::from_str(text).expect("decodes");
-        let settings = facts.settings();
-        assert_eq!(settings.zone, Some(ZoneId(1)));
-        assert_eq!(settings.classes[0].effect, Effect::Once);
-        // Advice counts only where clients are given any.
-        assert_eq!(settings.max_retry_after, Micros(0));
-        assert_eq!(facts.connections().connect_timeout, Micros(250_000));
-        assert_eq!(facts.names().class("load"), Some(ClassId(0)));
-    }
-}
+mod tests;
--- a/src/circle.rs
+++ b/src/circle.rs
@@ -16,14 +16,19 @@
         let Some(alone) = told.or(guess) else {
             return 1.0;
         };
-        let engine = self.engines.get(&end.engine);
-        let age = engine.and_then(|engine| engine.cold_age(self.now, self.settings.warm_after));
-        let able = age.map_or(1.0, |age| self.settings.warming().able(age));
+        let able = self.able_of(end.engine);
         // An answer is heard up to a tick late.
         let tick = self.settings.tick.0 as f64;
         end.took.0 as f64 * able / (alone + tick).max(1.0)
     }
 
+    /// Share of its capacity that an engine has by now: less than all of it where it has started lately.
+    pub(crate) fn able_of(&self, id: EngineId) -> f64 {
+        let engine = self.engines.get(&id);
+        let age = engine.and_then(|engine| engine.cold_age(self.now, self.settings.warm_after));
+        age.map_or(1.0, |age| self.settings.warming().able(age))
+    }
+
     /// This gateway's number among all of them.
     pub(crate) fn number(&self) -> u32 {
         let drawn = mix(self.seed) as u32 % self.settings.gateways.max(1);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,6 +75,8 @@
 const FRESH: Micros = Micros::from_millis(150);
 /// Threads a core told beyond which an engine has no slot; a wholly busy engine counts as two.
 const FULL_TOLD: f64 = 1.8;
+/// The same for a light class where priorities are heeded: it goes ahead of what keeps the cores busy.
+const FULL_FOR_LIGHT: f64 = 2.0 * FULL_TOLD;
 
 // ---- 2. Queues and credit ----
 
@@ -268,7 +270,13 @@
             return false;
         }
         if self.small_part {
-            return self.told(engine).is_none_or(|told| told < FULL_TOLD);
+            let goes_ahead = self.settings.takes_priorities && self.light(request.class);
+            let full = if goes_ahead {
+                FULL_FOR_LIGHT
+            } else {
+                FULL_TOLD
+            };
+            return self.told(engine).is_none_or(|told| told < full);
         }
         engine.all_threads() == 0.0 || (engine.all_threads() + request.threads <= limit && room)
     }
@@ -591,10 +599,14 @@
     /// An attempt hardly moves, as its note tells or as it says nothing: its engine is jammed. It may tell of
     /// little load for that, since what waits for its disks takes no cores. One of few gateways sees an
     /// engine often enough to go by its pace, and what one attempt says is as often its own trouble.
-    fn jammed(&mut self, id: EngineId) -> Option<()> {
+    fn jammed(&mut self, id: EngineId, sent_at: Micros) -> Option<()> {
         if !self.small_part {
             return None;
         }
+        // One attempt among others that are answered as quickly as ever has a bad plan.
+        if self.answers_quickly(id, sent_at) {
+            return Some(());
+        }
         let draw = self.draw(id.0 ^ self.now.0);
         let engine = self.engines.get_mut(&id)?;
         if engine.health.jammed(self.now.0, self.rests, draw) {
@@ -605,6 +617,12 @@
         Some(())
     }
 
+    /// Whether the engine has answered others quickly since an attempt was sent to it.
+    fn answers_quickly(&self, id: EngineId, sent_at: Micros) -> bool {
+        let engine = self.engines.get(&id);
+        engine.is_some_and(|engine| engine.health.has_answered_quickly_since(sent_at.0))
+    }
+
     /// A draw from 0 to 1 that differs among gateways.
     fn draw(&self, salt: u64) -> f64 {
         mix(self.seed ^ mix(salt)) as f64 / u64::MAX as f64
@@ -666,6 +684,9 @@
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.pace += PACE_GAIN * (away - engine.pace);
             engine.crowd.add(self.now.0, stretch);
+            if stretch < CROWDED {
+                engine.health.answered_quickly(self.now.0);
+            }
         }
         Some(())
     }
@@ -875,11 +896,13 @@
         }
         let to = attempt.engine;
         match note {
-            Note::Progress(done) if self.stuck(request, attempt, done) => {
-                self.jammed(to).and_then(|()| self.replan(id, number))
-            }
+            Note::Progress(done) if self.stuck(request, attempt, done) => self
+                .jammed(to, attempt.sent_at)
+                .and_then(|()| self.replan(id, number)),
             Note::Progress(done) if self.bad_plan(request, attempt, Some(done)) => {
-                self.multiple.follow(true);
+                if !self.answers_quickly(to, attempt.sent_at) {
+                    self.multiple.follow(true);
+                }
                 self.replan(id, number)
             }
             Note::Spills(missing) => {
@@ -940,7 +963,7 @@
         let engine = self.engines.get(&attempt.engine);
         let slow = engine.map_or(0.0, |engine| engine.pace).max(usual.pace);
         let tries = 2f64.powi(request.attempts.len() as i32 - 1);
-        let fresh_now = fresh * slow.exp().max(1.0) * tries;
+        let fresh_now = fresh * slow.exp().max(1.0) * tries / self.able_of(attempt.engine);
         let spent = (self.now - attempt.sent_at).0 as f64;
         let noted = self.now < attempt.noted_at + self.settings.note_every.times(SILENT_NOTES);
         let patience = if class.waits_for_load {
@@ -962,7 +985,8 @@
         let fresh = usual.ratio.zip(request.estimate());
         let fresh = fresh.map_or(f64::MAX, |(ratio, work)| work * (ratio + slow).exp());
         let spent = (self.now - attempt.sent_at).0 as f64;
-        let (longest, due) = (JAMMED * fresh, self.settings.note_every.0 as f64 / 4.0);
+        let longest = JAMMED * fresh / self.able_of(attempt.engine);
+        let due = self.settings.note_every.0 as f64 / 4.0;
         self.small_part && due > 0.0 && spent > due && spent / done.max(0.001) > longest
     }
 
@@ -1009,7 +1033,7 @@
                 let word = attempt.noted_at.max(attempt.sent_at);
                 let untold = silence > Micros(0) && now > word + silence;
                 if out && (unheard || untold || self.bad_plan(request, attempt, None)) {
-                    lost.push((*id, AttemptNo(number as u32), to, unheard));
+                    lost.push((*id, AttemptNo(number as u32), to, attempt.sent_at, unheard));
                 }
             }
         }
@@ -1020,8 +1044,8 @@
         for engine in silent.into_iter().filter(|_| !common) {
             self.strike(engine, STRIKES, "is silent");
         }
-        for (id, number, to, _) in lost.into_iter().filter(|lost| !(common && lost.3)) {
-            self.jammed(to);
+        for (id, number, to, sent_at, _) in lost.into_iter().filter(|lost| !(common && lost.4)) {
+            self.jammed(to, sent_at);
             self.replan(id, number);
         }
         if self.follow_at.take_if(|at| now >= *at).is_some() {
--- a/tests/jams.rs
+++ b/tests/jams.rs
@@ -142,3 +142,67 @@
     let called_off = |action: &Action| matches!(action, Action::Cancel { .. });
     assert!(!done.iter().any(called_off), "{done:?}");
 }
+
+/// A note by which the first attempt of a request has hardly begun.
+fn hardly_moves(id: u64) -> Event {
+    Event::Note(RequestId(id), AttemptNo(0), Note::Progress(0.01))
+}
+
+/// Without this each bad plan of a class that has many took an engine from the gateway for seconds.
+#[test]
+fn a_bad_plan_on_an_engine_that_answers_others_quickly_sets_no_engine_aside() {
+    let mut bench = experienced(crowd());
+    let engine = sent_to(&bench.request(1, LIGHT)).expect("an engine is ready");
+    let other = (2..40).find(|id| sent_to(&bench.request(*id, LIGHT)) == Some(engine));
+    let other = other.expect("one of many goes to the same engine");
+    bench.now = bench.now + ms(50);
+    bench.ends(other, 0, engine, Outcome::Ok);
+    bench.now = bench.now + ms(650);
+    let called_off = Action::Cancel {
+        request: RequestId(1),
+        attempt: AttemptNo(0),
+    };
+    assert_eq!(
+        bench.on(hardly_moves(1)),
+        vec![called_off],
+        "it goes elsewhere"
+    );
+    assert_eq!(bench.gateway.avoided(), vec![], "no engine is set aside");
+}
+
+/// An answer from before the attempt tells nothing of how the engine is now.
+#[test]
+fn an_answer_from_before_the_attempt_is_no_sign_that_the_engine_is_well() {
+    let mut bench = experienced(crowd());
+    bench.request(1, LIGHT);
+    bench.now = bench.now + ms(700);
+    bench.on(hardly_moves(1));
+    assert_eq!(bench.gateway.avoided().len(), 1);
+}
+
+/// Without this an engine that had just started was set aside for being as slow as one that has just started.
+#[test]
+fn what_moves_as_fast_as_a_starting_engine_can_is_not_stuck() {
+    let stuck_at = |started_ago: Option<u64>| {
+        let mut bench = Bench::with_engines(crowd(), 8);
+        for id in 1000..1020 {
+            let engine = sent_to(&bench.request(id, LIGHT)).expect("an engine is ready");
+            bench.ends(id, 0, engine, Outcome::Ok);
+        }
+        let engine = sent_to(&bench.request(1, LIGHT)).expect("an engine is ready");
+        if let Some(ago) = started_ago {
+            // The list names its start only now.
+            let started_at = Micros(bench.now.0 - ms(ago).0);
+            bench.change(Engine {
+                started_at,
+                ..common::engine(engine)
+            });
+        }
+        bench.now = bench.now + ms(300);
+        let note = Event::Note(RequestId(1), AttemptNo(0), Note::Progress(0.6));
+        bench.on(note);
+        !bench.gateway.avoided().is_empty()
+    };
+    assert!(stuck_at(None), "it would have been answered six times over");
+    assert!(!stuck_at(Some(0)), "it does a third of what it will");
+}
--- /dev/null
+++ b/tests/priorities.rs
@@ -0,0 +1,64 @@
+//! Classes that go ahead of others on an engine, where engines heed priorities, seen by one of many gateways.
+
+mod common;
+use common::*;
+use sedgebeam_core::*;
+
+/// Many gateways before engines that tell their load with each answer.
+fn settings_with_reports(takes_priorities: bool) -> Settings {
+    Settings {
+        gateways: 64,
+        reports: Reports::InAnswers,
+        takes_priorities,
+        ..settings()
+    }
+}
+
+/// A gateway that has been told so much load by all of its engines.
+fn bench_told(settings: Settings, load: Load) -> Bench {
+    let mut bench = Bench::with_engines(settings, 8);
+    for id in 1000..1016 {
+        if let Some(engine) = sent_to(&bench.request(id, LIGHT)) {
+            bench.ends(id, 0, engine, Outcome::Ok);
+        }
+    }
+    for engine in 1..=8 {
+        bench.on(Event::Probed(EngineId(engine), Outcome::Ok, Some(load)));
+    }
+    bench
+}
+
+fn is_sent(settings: Settings, load: Load, class: usize) -> bool {
+    let mut bench = bench_told(settings, load);
+    sent_to(&bench.request(1, class)).is_some()
+}
+
+/// Every core has work: what goes ahead of it is still served at once.
+const BUSY: Load = Load {
+    busy: Some(1.0),
+    active: None,
+    waiting: None,
+    granted: None,
+};
+
+/// Without this the light class was hardly served while heavy queries kept all engines busy.
+#[test]
+fn a_light_class_goes_to_engines_that_heavy_queries_keep_busy() {
+    assert!(is_sent(settings_with_reports(true), BUSY, LIGHT));
+    assert!(!is_sent(settings_with_reports(true), BUSY, HEAVY));
+}
+
+#[test]
+fn where_priorities_are_not_heeded_no_class_goes_ahead() {
+    assert!(!is_sent(settings_with_reports(false), BUSY, LIGHT));
+}
+
+/// Many more queries than cores are no room for anybody.
+#[test]
+fn a_light_class_waits_where_far_more_runs_than_the_engine_bears() {
+    let crowded = Load {
+        active: Some(64.0),
+        ..BUSY
+    };
+    assert!(!is_sent(settings_with_reports(true), crowded, LIGHT));
+}
