Confirm that an attempt is given up once its abort is written or its connection closed

Seen: a request had two attempts out at engines at one time. An abort was one hop from the engine's socket when its attempt counted as ended; an abandoned connection was closed by its task only after its attempts had been reported as lost.

Change: the engine's actor reports GivenUp once the abort's last byte is written, once the connection is closed, or at once where nothing was written. An abort that waits 250 ms has its connection closed. What is out on an abandoned connection is reported once that is closed. The test file of the actor lacked the memory grant of an attempt and did not compile.

To be run, and seen to fail without the change, before it is taken in.

--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -242,7 +242,7 @@
             figures: self.wires.figures.clone(),
         };
         let (over, died) = (self.over.clone(), self.over.clone());
-        let reports = self.reports.clone();
+        let (reports, given_up) = (self.reports.clone(), self.reports.clone());
         let word = move |broken| Over {
             id,
             number,
@@ -252,9 +252,13 @@
         let run = async move {
             let broken = tokio::select! {
                 biased;
-                _ = dropped => false,
-                broken = task.run(opening, asked) => broken,
+                _ = dropped => None,
+                broken = task.run(opening, asked) => Some(broken),
             };
+            if broken.is_none() {
+                given_up.given_up(id, number).await;
+            }
+            let broken = broken.unwrap_or(false);
             // An actor that is gone counts no more.
             let _ = over.send(word(broken)).await;
         };
--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to an engine: its task, and what the engine's actor keeps of it.
 
 use super::codec::{Command, Reply, Resp};
-use super::outgoing::{Named, Outgoing};
+use super::outgoing::{Named, Outgoing, Written};
 use crate::slots::Slot;
 use futures::StreamExt;
 use sedgebeam_core::RequestId;
@@ -26,6 +26,8 @@
     Reply(Reply),
     /// This was not written, as it may not begin any more.
     Withdrawn(Named),
+    /// The abort of this request is written.
+    Aborted(RequestId),
     /// It has ended, or never came up; these were not written to it.
     Down {
         unwritten: Vec<RequestId>,
@@ -213,9 +215,10 @@
                 }
             };
             let withdrawn = outgoing.withdraw();
+            let mut written = Written::default();
             if writable && outgoing.len() > 0 {
                 match half.try_write_vectored(&outgoing.slices()) {
-                    Ok(count) => self.figures.forwarded(outgoing.written(count)),
+                    Ok(count) => written = outgoing.written(count),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(error) => return Err(error),
                 }
@@ -223,6 +226,10 @@
             for named in withdrawn {
                 self.tell(Came::Withdrawn(named)).await;
             }
+            self.figures.forwarded(written.begun);
+            for id in written.aborted {
+                self.tell(Came::Aborted(id)).await;
+            }
         }
     }
 
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -21,6 +21,7 @@
 use sedgebeam_settings::Connections;
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::time::Duration;
@@ -36,6 +37,8 @@
 const LOOK_AFTER: Duration = Duration::from_millis(20);
 /// A page that has been asked for comes within this time, or never.
 const PAGE_LIMIT: Duration = Duration::from_millis(500);
+/// An abort is written within this time, or its connection is closed instead. Engines stand still for less.
+const ABORT_LIMIT: Duration = Duration::from_millis(250);
 
 /// An attempt that is out.
 struct Out {
@@ -50,6 +53,12 @@
     result: Option<Partial>,
 }
 
+/// An attempt that is given up, until its abort is written or its connection is closed.
+struct Aborting {
+    number: AttemptNo,
+    since: Instant,
+}
+
 /// A result of which pages are still to come. It is passed on only once it is whole: what is lost before can
 /// be had from another engine, where the class allows.
 struct Partial {
@@ -99,6 +108,7 @@
     /// The backoff's times count from here.
     started: Instant,
     out: HashMap<RequestId, Out>,
+    aborting: HashMap<(Number, RequestId), Aborting>,
     probes: HashMap<u64, Instant>,
     next_probe: u64,
 }
@@ -154,6 +164,7 @@
             backoff: Backoff::new(seed),
             started: Instant::now(),
             out: HashMap::new(),
+            aborting: HashMap::new(),
             probes: HashMap::new(),
             next_probe: 0,
         }
@@ -163,8 +174,8 @@
     /// of engines, and most of them rest.
     fn looks_at(&self) -> Option<Instant> {
         let settings = self.settings();
-        let results = self.out.values().filter_map(|out| out.result.as_ref());
-        let pages = results.map(|result| result.came + PAGE_LIMIT);
+        let pages = self.pages_due().map(|(_, due)| due);
+        let aborts = self.aborts_due().map(|(_, due)| due);
         let limit = duration(settings.connect_timeout);
         let probes = self.probes.values().map(|asked| *asked + limit);
         let idle = duration(settings.idle).mul_f64(IDLE_PART);
@@ -178,12 +189,27 @@
         });
         // A little later, so that one look finds all that is overdue at about one time.
         pages
+            .chain(aborts)
             .chain(probes)
             .chain(goes)
             .min()
             .map(|first| first + LOOK_AFTER)
     }
 
+    /// By when the next page of each result must come, on connections that are not abandoned yet.
+    fn pages_due(&self) -> impl Iterator<Item = (Number, Instant)> {
+        let kept = self.out.values();
+        let kept = kept.filter(|out| self.connections.contains_key(&out.connection));
+        kept.filter_map(|out| Some((out.connection, out.result.as_ref()?.came + PAGE_LIMIT)))
+    }
+
+    /// By when each abort must be written, on connections that are not abandoned yet.
+    fn aborts_due(&self) -> impl Iterator<Item = (Number, Instant)> {
+        let kept = self.aborting.iter();
+        let kept = kept.filter(|((number, _), _)| self.connections.contains_key(number));
+        kept.map(|((number, _), aborting)| (*number, aborting.since + ABORT_LIMIT))
+    }
+
     fn settings(&self) -> Connections {
         *self.wires.connections.borrow()
     }
@@ -191,7 +217,7 @@
     async fn take(&mut self, message: ToEngine) {
         match message {
             ToEngine::Send(attempt) => self.send(attempt).await,
-            ToEngine::Abort(id, number) => self.abort(id, number),
+            ToEngine::Abort(id, number) => self.abort(id, number).await,
             ToEngine::Renice(id, number, rank) => {
                 let out = self.out.get_mut(&id).filter(|out| out.number == number);
                 if let Some(attempt) = out.and_then(|out| out.waiting.as_mut()) {
@@ -268,6 +294,15 @@
             .is_some_and(|out| out.number == number)
         {
             self.end(connection, id, End::Void).await;
+        } else {
+            self.aborted(connection, id).await;
+        }
+    }
+
+    /// An attempt that was given up is out no longer.
+    async fn aborted(&mut self, connection: Number, id: RequestId) {
+        if let Some(aborting) = self.aborting.remove(&(connection, id)) {
+            self.reports.given_up(id, aborting.number).await;
         }
     }
 
@@ -370,23 +405,23 @@
         connection.is_some_and(|connection| connection.mailbox.try_send(command).is_ok())
     }
 
-    fn abort(&mut self, id: RequestId, number: AttemptNo) {
-        let Some(out) = self.out.remove(&id) else {
-            return;
+    async fn abort(&mut self, id: RequestId, number: AttemptNo) {
+        let out = match self.out.entry(id) {
+            Entry::Occupied(entry) if entry.get().number == number => entry.remove(),
+            // It has ended.
+            _ => return self.reports.given_up(id, number).await,
         };
-        if out.number != number {
-            self.out.insert(id, out);
-            return;
-        }
         if out.waiting.is_some() {
             self.ended_on(out.connection);
-            return;
+            return self.reports.given_up(id, number).await;
         }
         out.cancelled.cancel();
         // Of a result that is on its way no more is wanted; all else is called off.
-        let command = match out.result {
-            Some(_) => Command::Done(id),
-            None => Command::Abort(id),
+        let answered = out.result.is_some();
+        let command = if answered {
+            Command::Done(id)
+        } else {
+            Command::Abort(id)
         };
         let told = self.command(out.connection, command);
         if let Some(connection) = self.connections.get_mut(&out.connection) {
@@ -394,6 +429,12 @@
             // Its engine would run on what it is not told of; it gives all up once the connection is closed.
             connection.spent |= !told;
         }
+        if answered {
+            return self.reports.given_up(id, number).await;
+        }
+        let since = Instant::now();
+        let aborting = Aborting { number, since };
+        self.aborting.insert((out.connection, id), aborting);
     }
 
     /// The attempt that an answer on this connection is about. A late answer on an older one must leave the
@@ -442,7 +483,7 @@
         if asked {
             self.passed_on(connection, id).await;
         } else {
-            self.abandon(connection, "it takes no more commands").await;
+            self.abandon(connection, "it takes no more commands");
         }
     }
 
@@ -456,7 +497,7 @@
         });
         let Some(place) = place else {
             // No such page was asked for: the answer is spoilt, and what follows it would be.
-            return self.abandon(connection, "a page that can't be").await;
+            return self.abandon(connection, "a page that can't be");
         };
         if place.is_none() {
             *place = Some(rows);
@@ -498,6 +539,7 @@
             }
             Came::Reply(reply) => self.reply(number, reply).await,
             Came::Withdrawn(named) => self.withdrawn(number, named).await,
+            Came::Aborted(id) => self.aborted(number, id).await,
             Came::Down { unwritten, error } => self.down(number, &unwritten, error).await,
         }
     }
@@ -509,6 +551,10 @@
             About::Tag(tag) => return self.probed(tag, reply.word).await,
             About::Nobody => return,
         };
+        // Nothing is believed of a connection that is abandoned, though it may not be closed yet.
+        if !self.connections.contains_key(&connection) {
+            return;
+        }
         match reply.word {
             Word::Note(note) => {
                 let out = self.on(connection, id).map(|out| out.number);
@@ -539,7 +585,7 @@
             // Also for a page that is lost. A probe's word about a request is no answer to it.
             Word::Err => self.end(connection, id, End::Error).await,
             Word::Spoilt(why) if self.on(connection, id).is_some() => {
-                self.abandon(connection, &why).await;
+                self.abandon(connection, &why);
             }
             Word::Spoilt(_) | Word::Up(_) | Word::Down => {}
         }
@@ -584,7 +630,7 @@
         }
     }
 
-    /// Ends all attempts that were out on a connection that is gone.
+    /// Ends all attempts that were out on a connection that is closed.
     async fn lose(&mut self, number: Number, unwritten: &[RequestId]) {
         let here = self.out.extract_if(|_, out| out.connection == number);
         let lost: Vec<(RequestId, Out)> = here.collect();
@@ -598,15 +644,22 @@
             };
             self.reports.ended(id, out.number, end).await;
         }
+        let here = self
+            .aborting
+            .extract_if(|(connection, _), _| *connection == number);
+        let given_up: Vec<((Number, RequestId), Aborting)> = here.collect();
+        for ((_, id), aborting) in given_up {
+            self.reports.given_up(id, aborting.number).await;
+        }
     }
 
-    /// Lets a connection go that is of no further use though it stays open, with all that is out on it.
-    async fn abandon(&mut self, number: Number, why: &str) {
-        log::info!("connection to {}: abandoned: {why}", self.endpoint);
+    /// Lets a connection go that is of no further use though it stays open. What is out on it ends once its task has
+    /// closed it, and no sooner: its engine runs all of it until then.
+    fn abandon(&mut self, number: Number, why: &str) {
         if let Some(connection) = self.connections.remove(&number) {
+            log::info!("connection to {}: abandoned: {why}", self.endpoint);
             self.backoff.closed(connection.connect);
         }
-        self.lose(number, &[]).await;
     }
 
     /// Closes the idle connections of which this is true.
@@ -648,13 +701,14 @@
             open -= usize::from(goes);
             goes
         });
-        let stopped = self.out.values().filter(|out| {
-            let result = out.result.as_ref();
-            result.is_some_and(|result| now >= result.came + PAGE_LIMIT)
-        });
-        let stopped: Vec<Number> = stopped.map(|out| out.connection).collect();
-        for number in stopped {
-            self.abandon(number, "a page never came").await;
+        let overdue = |due: &(Number, Instant)| now >= due.1;
+        let stopped: Vec<_> = self.pages_due().filter(overdue).collect();
+        for (number, _) in stopped {
+            self.abandon(number, "a page never came");
+        }
+        let unwritten: Vec<_> = self.aborts_due().filter(overdue).collect();
+        for (number, _) in unwritten {
+            self.abandon(number, "it does not take an abort");
         }
         let limit = duration(self.settings().connect_timeout);
         let late = self.probes.extract_if(|_, asked| now >= *asked + limit);
--- a/engines/src/resp/outgoing.rs
+++ b/engines/src/resp/outgoing.rs
@@ -22,6 +22,17 @@
     bytes: Bytes,
     /// The attempt that it begins, while none of it is written.
     begins: Option<Attempt>,
+    /// The request that it gives up.
+    aborts: Option<RequestId>,
+}
+
+/// What a write has brought to the engine.
+#[derive(Default)]
+pub struct Written {
+    /// How many attempts began.
+    pub begun: usize,
+    /// The requests whose aborts are written whole.
+    pub aborted: Vec<RequestId>,
 }
 
 #[derive(Default)]
@@ -39,11 +50,19 @@
             Command::Fetch(attempt) => Some(attempt.clone()),
             _ => None,
         };
+        let aborts = match &command {
+            Command::Abort(id) => Some(*id),
+            _ => None,
+        };
         let mut bytes = BytesMut::new();
         Resp.encode(command, &mut bytes)?;
         if !bytes.is_empty() {
             let bytes = bytes.freeze();
-            self.frames.push_back(Frame { bytes, begins });
+            self.frames.push_back(Frame {
+                bytes,
+                begins,
+                aborts,
+            });
         }
         Ok(())
     }
@@ -67,21 +86,22 @@
         frames.map(|frame| IoSlice::new(&frame.bytes)).collect()
     }
 
-    /// So many bytes have been written; how many attempts began with them.
-    pub fn written(&mut self, mut count: usize) -> usize {
-        let mut begun = 0;
+    /// So many bytes have been written.
+    pub fn written(&mut self, mut count: usize) -> Written {
+        let mut written = Written::default();
         while count > 0
             && let Some(frame) = self.frames.front_mut()
         {
-            begun += usize::from(frame.begins.take().is_some());
+            written.begun += usize::from(frame.begins.take().is_some());
             let part = count.min(frame.bytes.len());
             frame.bytes.advance(part);
             count -= part;
             if frame.bytes.is_empty() {
+                written.aborted.extend(frame.aborts);
                 self.frames.pop_front();
             }
         }
-        begun
+        written
     }
 
     /// The attempts of which not a byte has been written.
--- a/engines/src/resp/tests.rs
+++ b/engines/src/resp/tests.rs
@@ -181,6 +181,7 @@
     told: mpsc::Receiver<ToBroker>,
     sent: Vec<(RequestId, AttemptNo)>,
     ends: Vec<(RequestId, AttemptNo, End)>,
+    given_up: Vec<(RequestId, AttemptNo)>,
     probes: Vec<Probe>,
 }
 
@@ -190,6 +191,10 @@
     }
 
     fn start_with(engine: &StandIn, connections: Connections) -> Dispatcher {
+        Dispatcher::start_at(engine.address, connections)
+    }
+
+    fn start_at(engine: SocketAddr, connections: Connections) -> Dispatcher {
         let wires = Wires {
             connections: watch::channel(connections).1,
             figures: Figures::default(),
@@ -198,12 +203,13 @@
         let (mailbox, incoming) = mpsc::channel(1024);
         let (broker, told) = mpsc::channel(1024);
         let reports = Reports::new(EngineId(1), broker);
-        tokio::spawn(run(engine.address.to_string(), wires, incoming, reports));
+        tokio::spawn(run(engine.to_string(), wires, incoming, reports));
         Dispatcher {
             mailbox,
             told,
             sent: Vec::new(),
             ends: Vec::new(),
+            given_up: Vec::new(),
             probes: Vec::new(),
         }
     }
@@ -214,6 +220,10 @@
     }
 
     fn send_again(&mut self, request: RequestId, number: AttemptNo) {
+        self.send_statement(request, number, Bytes::from_static(b"SELECT 1"));
+    }
+
+    fn send_statement(&mut self, request: RequestId, number: AttemptNo, statement: Bytes) {
         let timeout = Duration::from_secs(60);
         let attempt = Attempt {
             request,
@@ -221,7 +231,8 @@
             class: "lookup".into(),
             timeout,
             rank: 1,
-            statement: Bytes::from_static(b"SELECT 1"),
+            memory_grant_mb: None,
+            statement,
             token: None,
             order_key: None,
             cancelled: CancellationToken::new(),
@@ -232,6 +243,11 @@
         told.expect("room in the mailbox");
     }
 
+    fn abort(&mut self, request: RequestId, number: AttemptNo) {
+        let told = self.mailbox.try_send(ToEngine::Abort(request, number));
+        told.expect("room in the mailbox");
+    }
+
     fn probe(&mut self) {
         let told = self.mailbox.try_send(ToEngine::Probe);
         told.expect("room in the mailbox");
@@ -243,6 +259,9 @@
                 ToBroker::Engine(_, Report::Ended(request, number, end)) => {
                     self.ends.push((request, number, end));
                 }
+                ToBroker::Engine(_, Report::GivenUp(request, number)) => {
+                    self.given_up.push((request, number));
+                }
                 ToBroker::Engine(_, Report::Probed(probe)) => self.probes.push(probe),
                 _ => {}
             }
@@ -602,3 +621,151 @@
     actor.connections.clear();
     assert_eq!(actor.looks_at(), None);
 }
+
+// ---- Attempts that are given up ----
+
+const REQUEST: RequestId = RequestId(7);
+const FIRST: AttemptNo = AttemptNo(0);
+/// More than the sockets of a connection hold.
+const LONG_STATEMENT: usize = 32 << 20;
+
+/// A stand-in engine that reads and writes only where its test says so.
+struct HandHeld {
+    listener: std::net::TcpListener,
+}
+
+impl HandHeld {
+    fn start() -> HandHeld {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a socket");
+        listener.set_nonblocking(true).expect("a setting");
+        HandHeld { listener }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    async fn accept(&self) -> std::net::TcpStream {
+        for _ in 0..LOOKS {
+            if let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(true).expect("a setting");
+                return stream;
+            }
+            yield_now().await;
+        }
+        panic!("no connection");
+    }
+}
+
+/// All that has come: whether the connection is closed, and the last bytes before.
+fn read_all(stream: &mut std::net::TcpStream, last: &mut Vec<u8>) -> bool {
+    let mut part = vec![0; 1 << 20];
+    loop {
+        match io::Read::read(stream, &mut part) {
+            Ok(0) => return true,
+            Ok(count) => {
+                last.extend_from_slice(&part[..count]);
+                last.drain(..last.len().saturating_sub(1 << 10));
+            }
+            Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+fn ends_with_abort(last: &[u8]) -> bool {
+    last.ends_with(b"abort\r\n$16\r\n0000000000000007\r\n")
+}
+
+/// Lets everything go on that can, while the clock stands still.
+async fn rest() {
+    for _ in 0..10_000 {
+        yield_now().await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_attempt_is_given_up_once_its_abort_is_written() {
+    let engine = HandHeld::start();
+    let mut dispatcher = Dispatcher::start_at(engine.address(), connections());
+    let statement = Bytes::from(vec![b'x'; LONG_STATEMENT]);
+    dispatcher.send_statement(REQUEST, FIRST, statement);
+    let mut stream = engine.accept().await;
+    rest().await;
+    dispatcher.abort(REQUEST, FIRST);
+    rest().await;
+    dispatcher.hear();
+    assert_eq!(dispatcher.given_up, [], "its abort waits");
+    let mut last = Vec::new();
+    for _ in 0..LOOKS {
+        dispatcher.hear();
+        if !dispatcher.given_up.is_empty() {
+            break;
+        }
+        assert!(!read_all(&mut stream, &mut last), "it stays open");
+        yield_now().await;
+    }
+    assert_eq!(dispatcher.given_up, [(REQUEST, FIRST)]);
+    read_all(&mut stream, &mut last);
+    assert!(ends_with_abort(&last), "it was written by then");
+    assert!(dispatcher.ends.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_does_not_take_an_abort_is_closed() {
+    let engine = HandHeld::start();
+    let mut dispatcher = Dispatcher::start_at(engine.address(), connections());
+    let statement = Bytes::from(vec![b'x'; LONG_STATEMENT]);
+    dispatcher.send_statement(REQUEST, FIRST, statement);
+    let mut stream = engine.accept().await;
+    rest().await;
+    dispatcher.abort(REQUEST, FIRST);
+    rest().await;
+    advance(ABORT_LIMIT + 2 * LOOK_AFTER).await;
+    dispatcher
+        .wait_for(|dispatcher| !dispatcher.given_up.is_empty())
+        .await;
+    let mut last = Vec::new();
+    assert!(read_all(&mut stream, &mut last), "it is closed by then");
+    assert!(!ends_with_abort(&last));
+    rest().await;
+    dispatcher.hear();
+    assert_eq!(dispatcher.given_up, [(REQUEST, FIRST)]);
+    assert!(dispatcher.ends.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_not_written_or_has_ended_is_given_up_at_once() {
+    let engine = HandHeld::start();
+    let mut dispatcher = Dispatcher::start_at(engine.address(), connections());
+    // Its connection is not up when the abort comes.
+    dispatcher.send_again(REQUEST, FIRST);
+    dispatcher.abort(REQUEST, FIRST);
+    rest().await;
+    dispatcher.hear();
+    assert_eq!(dispatcher.given_up, [(REQUEST, FIRST)]);
+    dispatcher.abort(REQUEST, FIRST);
+    rest().await;
+    dispatcher.hear();
+    assert_eq!(dispatcher.given_up, [(REQUEST, FIRST); 2]);
+    let mut last = Vec::new();
+    read_all(&mut engine.accept().await, &mut last);
+    assert!(last.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_out_on_an_abandoned_connection_ends_once_that_is_closed() {
+    let engine = HandHeld::start();
+    let mut dispatcher = Dispatcher::start_at(engine.address(), connections());
+    dispatcher.send_again(REQUEST, FIRST);
+    let mut stream = engine.accept().await;
+    let mut last = Vec::new();
+    while last.is_empty() {
+        assert!(!read_all(&mut stream, &mut last));
+        yield_now().await;
+    }
+    let spoilt = b"*3\r\n$16\r\n0000000000000007\r\n$4\r\nWHAT\r\n$1\r\n-\r\n";
+    io::Write::write_all(&mut stream, spoilt).expect("room");
+    dispatcher.settle().await;
+    assert!(read_all(&mut stream, &mut last), "it is closed by then");
+    assert_eq!(dispatcher.ends, [(REQUEST, FIRST, End::Reset)]);
+}
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub enum ToEngine {
     Send(Attempt),
-    /// Gives an attempt up; nothing is reported of it any more.
+    /// Gives an attempt up. [`Report::GivenUp`] is all that is reported of it from then on, unless it has ended already.
     Abort(RequestId, AttemptNo),
     Renice(RequestId, AttemptNo, u8),
     Probe,
@@ -109,6 +109,9 @@
 #[derive(Clone, Debug)]
 pub enum Report {
     Ended(RequestId, AttemptNo, End),
+    /// An attempt is out no longer after [`ToEngine::Abort`]: its abort is written, its connection is closed, or nothing
+    /// of it was ever written.
+    GivenUp(RequestId, AttemptNo),
     Note(RequestId, AttemptNo, Note),
     Probed(Probe),
 }
@@ -153,6 +156,10 @@
         self.tell(Report::Ended(request, number, end)).await;
     }
 
+    pub async fn given_up(&self, request: RequestId, number: AttemptNo) {
+        self.tell(Report::GivenUp(request, number)).await;
+    }
+
     /// The engine's actor has died; what was out there may have run.
     pub async fn died(&self) {
         // As above.
