Tell the gateway that an attempt is given up only once that is confirmed

Cause: call_off and timed_out took the attempt back and reported its outcome at once, so that the next attempt's fetch could overtake the abort on the way to another connection.

Change: the attempt stays out until its actor confirms, it ends, its actor dies, the request's deadline passes or 1 s is over. Where no attempt may follow, the outcome comes at once as before. Scenarios of the actor expect the new report.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -11,10 +11,10 @@
 
 use admin::Tally;
 use parts::Part;
-use requests::{Open, Out};
+use requests::{GivenUp, Open, Out};
 use sedgebeam_core::{
-    Action, AttemptNo, CellId, Ended, Engine, EngineId, EngineState, Event, Gateway, Held, Key,
-    ListKind, Micros, Outcome, Published, Query, RequestId, Settings, TimerId,
+    Action, AttemptNo, CellId, Effect, Ended, Engine, EngineId, EngineState, Event, Gateway, Held,
+    Key, ListKind, Micros, Outcome, Published, Query, RequestId, Settings, TimerId,
 };
 use sedgebeam_operation::{Figures, figures};
 use sedgebeam_port::clock::{Clock, duration, span};
@@ -26,6 +26,7 @@
 use sedgebeam_settings::{Names, micros};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -33,6 +34,9 @@
 const MAILBOX: usize = 4096;
 /// What another process holds counts for so long if nothing more is heard of it; it tells ten times a second.
 const BESIDE_LASTS: Micros = Micros::from_millis(1000);
+/// An attempt that is given up has its outcome after this time, though nothing of its engine's actor confirms it: longer
+/// than the actor needs to close a connection that does not take an abort.
+const GIVEN_UP_WITHIN: Duration = Duration::from_secs(1);
 /// Messages taken before the gateway is asked again.
 const MOST_AT_ONCE: usize = 2048;
 
@@ -40,6 +44,8 @@
 enum Due {
     Module(TimerId),
     Attempt(RequestId, Instant, AttemptNo),
+    /// The confirmation that an attempt is given up is overdue.
+    GivenUp(RequestId, Instant, AttemptNo),
     /// The final answer is overdue.
     Answer(RequestId, Instant),
 }
@@ -211,8 +217,11 @@
                 Due::Attempt(id, deadline, number) if self.is_of(id, deadline) => {
                     self.timed_out(id, number, now);
                 }
+                Due::GivenUp(id, deadline, number) if self.is_of(id, deadline) => {
+                    self.unconfirmed(id, number, now);
+                }
                 Due::Answer(id, deadline) if self.is_of(id, deadline) => self.overdue(id),
-                Due::Attempt(..) | Due::Answer(..) => {}
+                Due::Attempt(..) | Due::GivenUp(..) | Due::Answer(..) => {}
             }
         }
     }
@@ -343,8 +352,13 @@
             ToBroker::Engine(engine, Report::Ended(id, number, end)) => {
                 self.ended(engine, id, number, end);
             }
-            ToBroker::Engine(engine, Report::Note(id, number, note)) => {
+            ToBroker::Engine(engine, Report::GivenUp(id, number)) => {
                 if self.is_out(engine, id, number) {
+                    self.confirmed(id, number);
+                }
+            }
+            ToBroker::Engine(engine, Report::Note(id, number, note)) => {
+                if self.is_out(engine, id, number) && !self.is_given_up(id, number) {
                     self.events.push(Event::Note(id, number, note));
                 }
             }
@@ -585,6 +599,7 @@
             mailbox,
             sent: now,
             cancelled,
+            given_up: None,
         }));
         let deadline = open.deadline;
         self.at(now + timeout, Due::Attempt(id, deadline, number));
@@ -624,25 +639,79 @@
     }
 
     fn call_off(&mut self, id: RequestId, number: AttemptNo, now: Instant) {
-        if let Some(out) = self.take_back(id, number) {
-            post(&out.mailbox, ToEngine::Abort(id, number));
-            self.report(id, number, out.engine, Outcome::Cancelled, out.sent, now);
-        }
+        self.give_up(id, number, Outcome::Cancelled, now);
     }
 
     fn timed_out(&mut self, id: RequestId, number: AttemptNo, now: Instant) {
-        if let Some(out) = self.take_back(id, number) {
-            post(&out.mailbox, ToEngine::Abort(id, number));
-            self.report(id, number, out.engine, Outcome::TimedOut, out.sent, now);
+        self.give_up(id, number, Outcome::TimedOut, now);
+    }
+
+    /// Gives an attempt up, if it is out. Where another may follow, the gateway hears of it only once its engine's actor
+    /// has confirmed that it is out no longer: two attempts of one request must not be out together.
+    fn give_up(&mut self, id: RequestId, number: AttemptNo, outcome: Outcome, now: Instant) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let effect = self.settings.classes[open.class.0].effect;
+        let final_attempt = open.reply.is_none() || now >= open.deadline || effect == Effect::Once;
+        let deadline = open.deadline;
+        let out = open.attempts.get_mut(number.0 as usize);
+        let Some(out) = out.and_then(Option::as_mut) else {
+            return;
+        };
+        if out.given_up.is_some() {
+            return;
         }
+        out.cancelled.cancel();
+        out.given_up = Some(GivenUp { outcome, at: now });
+        post(&out.mailbox, ToEngine::Abort(id, number));
+        if final_attempt {
+            self.confirmed(id, number);
+        } else {
+            // From the deadline on nothing follows.
+            let latest = deadline.min(now + GIVEN_UP_WITHIN);
+            self.at(latest, Due::GivenUp(id, deadline, number));
+        }
+    }
+
+    fn is_given_up(&self, id: RequestId, number: AttemptNo) -> bool {
+        let out = self.open.get(&id).and_then(|open| open.out(number));
+        out.is_some_and(|out| out.given_up.is_some())
+    }
+
+    /// An attempt that was given up is out no longer.
+    fn confirmed(&mut self, id: RequestId, number: AttemptNo) {
+        if !self.is_given_up(id, number) {
+            return;
+        }
+        if let Some(out) = self.take_back(id, number)
+            && let Some(GivenUp { outcome, at }) = out.given_up
+        {
+            self.report(id, number, out.engine, outcome, out.sent, at);
+        }
+    }
+
+    /// Guards against an attempt that is given up without a confirmation: its request goes on.
+    fn unconfirmed(&mut self, id: RequestId, number: AttemptNo, now: Instant) {
+        if !self.is_given_up(id, number) {
+            return;
+        }
+        let over = self.open.get(&id).is_none_or(|open| now >= open.deadline);
+        if !over {
+            log::warn!("request {:016x}: no word that an attempt is given up", id.0);
+        }
+        self.confirmed(id, number);
     }
 
     fn ended(&mut self, engine: EngineId, id: RequestId, number: AttemptNo, end: End) {
         let now = Instant::now();
-        // What was called off or timed out has had its outcome.
+        // What was called off or timed out has its outcome, whatever crosses that.
         if !self.is_out(engine, id, number) {
             return;
         }
+        if self.is_given_up(id, number) {
+            return self.confirmed(id, number);
+        }
         let Some(out) = self.take_back(id, number) else {
             return;
         };
@@ -822,7 +891,9 @@
         });
         let out: Vec<(RequestId, AttemptNo)> = out.collect();
         for (id, number) in out {
-            if let Some(out) = self.take_back(id, number) {
+            if self.is_given_up(id, number) {
+                self.confirmed(id, number);
+            } else if let Some(out) = self.take_back(id, number) {
                 self.report(id, number, engine, Outcome::Reset, out.sent, now);
             }
         }
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -1,7 +1,7 @@
 //! Open requests and their attempts.
 
 use bytes::Bytes;
-use sedgebeam_core::{AttemptNo, ClassId, EngineId, TenantId};
+use sedgebeam_core::{AttemptNo, ClassId, EngineId, Outcome, TenantId};
 use sedgebeam_port::{Answer, EngineBox, NewRequest};
 use std::num::NonZeroU32;
 use std::sync::Arc;
@@ -16,6 +16,15 @@
     pub sent: Instant,
     /// Cancelled once it is over: what of it is unwritten must stay so.
     pub cancelled: CancellationToken,
+    /// Set where it is given up, and its engine's actor has not confirmed that yet.
+    pub given_up: Option<GivenUp>,
+}
+
+/// How an attempt that was given up ends, once that is confirmed.
+#[derive(Clone, Copy)]
+pub struct GivenUp {
+    pub outcome: Outcome,
+    pub at: Instant,
 }
 
 /// A request from its start until it is over and nothing of it is out.
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -584,3 +584,91 @@
         }
     });
 }
+
+fn given_up(number: u32) -> ToBroker {
+    ToBroker::Engine(ENGINE, Report::GivenUp(ID, AttemptNo(number)))
+}
+
+/// Two attempts of one request must not be out together: what the gateway hears of has left its engine.
+#[test]
+fn an_attempt_that_is_given_up_is_out_until_that_is_confirmed() {
+    type Deed = fn(&mut Broker, RequestId, AttemptNo, Instant);
+    let cases: [(Deed, Outcome); 2] = [
+        (Broker::call_off, Outcome::Cancelled),
+        (Broker::timed_out, Outcome::TimedOut),
+    ];
+    inside(|| {
+        for (deed, outcome) in cases {
+            let mut bench = bench();
+            bench.send();
+            deed(&mut bench.broker, ID, FIRST, Instant::now());
+            assert_eq!(bench.asked(), ["Send", "Abort"]);
+            assert_eq!(bench.outcomes(), []);
+            bench.send();
+            assert_eq!(bench.outcomes(), [(1, Outcome::Moot, false)]);
+            assert!(bench.asked().is_empty());
+            bench.broker.take(given_up(0));
+            bench.broker.take(given_up(0));
+            bench.end(End::Reset);
+            assert_eq!(bench.outcomes(), [(0, outcome, false)]);
+            bench.send();
+            assert_eq!(bench.asked(), ["Send"]);
+            // A confirmation is none of an attempt that was not given up.
+            bench.broker.take(given_up(2));
+            assert_eq!(bench.outcomes(), []);
+        }
+    });
+}
+
+#[test]
+fn an_attempt_that_none_may_follow_has_its_outcome_at_once() {
+    inside(|| {
+        let now = Instant::now();
+        let mut gone = bench();
+        gone.send();
+        gone.broker.client_left(ID, Failure::Cancelled);
+        gone.broker.call_off(ID, FIRST, now);
+        assert_eq!(gone.outcomes(), [(0, Outcome::Cancelled, true)]);
+
+        let mut late = bench();
+        late.send();
+        let deadline = late.broker.open[&ID].deadline;
+        late.broker.timed_out(ID, FIRST, deadline);
+        assert_eq!(late.outcomes(), [(0, Outcome::TimedOut, false)]);
+
+        let mut once = bench();
+        once.broker.settings.classes[0].effect = Effect::Once;
+        once.send();
+        once.broker.call_off(ID, FIRST, now);
+        assert_eq!(once.outcomes(), [(0, Outcome::Cancelled, false)]);
+    });
+}
+
+#[test]
+fn a_request_goes_on_though_nothing_confirms_that_its_attempt_is_given_up() {
+    inside(|| {
+        let mut silent = bench();
+        silent.send();
+        let now = Instant::now();
+        silent.broker.call_off(ID, FIRST, now);
+        silent.broker.fall_due(now + GIVEN_UP_WITHIN / 2);
+        assert_eq!(silent.outcomes(), []);
+        silent.broker.fall_due(now + GIVEN_UP_WITHIN);
+        silent.broker.take(given_up(0));
+        assert_eq!(silent.outcomes(), [(0, Outcome::Cancelled, false)]);
+
+        let mut at_deadline = bench();
+        at_deadline.send();
+        let deadline = at_deadline.broker.open[&ID].deadline;
+        let shortly_before = deadline - GIVEN_UP_WITHIN / 2;
+        at_deadline.broker.call_off(ID, FIRST, shortly_before);
+        at_deadline.broker.fall_due(deadline);
+        assert_eq!(at_deadline.outcomes(), [(0, Outcome::Cancelled, false)]);
+
+        let mut died = bench();
+        died.send();
+        died.broker.call_off(ID, FIRST, now);
+        died.broker.take(ToBroker::EngineDied(ENGINE));
+        assert_eq!(died.outcomes(), [(0, Outcome::Cancelled, false)]);
+    });
+}
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -123,6 +123,14 @@
         }
     }
 
+    /// The next report is that the first attempt at this request is given up.
+    async fn gives_up(&mut self, id: u64) {
+        match self.report().await {
+            Report::GivenUp(request, AttemptNo(0)) => assert_eq!(request.0, id),
+            other => panic!("not given up: {other:?}"),
+        }
+    }
+
     async fn report(&mut self) -> Report {
         match self.reports.recv().await {
             Some(ToBroker::Engine(EngineId(1), report)) => report,
@@ -173,6 +181,7 @@
         bench.hears("fetch 1").await;
         bench.ask(ToEngine::Abort(RequestId(1), AttemptNo(0))).await;
         bench.hears("abort 1").await;
+        bench.gives_up(1).await;
         // The answer crosses the abort on the old connection, while the request is out again on a new one.
         bench.send(1, 1).await;
         bench.hears("fetch 1").await;
@@ -321,6 +330,7 @@
         drop(first);
         tokio::spawn(engines::resp(listener, role));
         bench.hears("fetch 2").await;
+        bench.gives_up(1).await;
         bench.says("2 OK 1 a|b|c");
         assert!(matches!(
             bench.report().await,
