Have an ordered request wait for its shard, and start only once all shards are open

Cause: Desk::lives took the initial zero of a beat for a beat at the desk's start. In its first 100 ms every shard counted as alive, so Crew::start returned before the brokers had opened; mailbox_for then gave a request with a key to another shard as long as its own had no mailbox. The same befell a key while a broker that had died was being replaced.

Change: a shard lives only while its broker is open, and Crew::start waits for Desk::opened, which replaces the poll. With several shards a request with an order key is handed to the shard of its key and to no other: it waits until that is open, until its deadline at most (refused, as it has not run), or until it is cancelled. A fair lock for each shard has such requests handed over in the order in which they were submitted, also those that come as the shard opens. The entry of a session exists before its request is handed over, so that a cancel finds it while it waits.

--- a/dispatcher/src/crew.rs
+++ b/dispatcher/src/crew.rs
@@ -142,17 +142,11 @@
             turn: AtomicUsize::new(0),
             restarts,
         };
-        crew.ready().await;
+        // Clients are accepted once every shard takes requests.
+        crew.desk.opened().await;
         Ok(crew)
     }
 
-    /// Waits until every shard has come.
-    async fn ready(&self) {
-        while !(0..self.shards).all(|shard| self.desk.lives(shard)) {
-            sleep(Duration::from_millis(1)).await;
-        }
-    }
-
     pub fn workers(&self) -> &[Worker] {
         &self.workers
     }
--- a/port/src/desk.rs
+++ b/port/src/desk.rs
@@ -3,6 +3,9 @@
 //!
 //! A request goes to the shard that its id names, so that shards get the same mixture whatever connection
 //! it came on; a shard that has been silent for a while gets nothing, as long as there is another.
+//!
+//! A request with an order key goes to the shard that its key names and to no other: it waits until that shard is
+//! open, and such requests are handed to a shard in the order in which they were submitted.
 
 use crate::clock::{duration, span};
 use crate::standing::Standing;
@@ -17,8 +20,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex as Lock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
-use tokio::sync::{Mutex, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Mutex, MutexGuard, oneshot, watch};
+use tokio::time::{sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// A broker beats so often while there are several.
@@ -29,9 +32,53 @@
 const TELLS_WITHIN: Duration = Duration::from_millis(500);
 
 struct Slot {
-    mailbox: RwLock<Option<BrokerBox>>,
+    /// None while its broker has not opened yet, or is gone.
+    mailbox: watch::Sender<Option<BrokerBox>>,
     /// When its broker last showed that it runs, in milliseconds since the desk's start.
     beat: AtomicU64,
+    /// Held by a request with an order key until it is handed over. The lock is fair: none overtakes another.
+    ordered: Mutex<()>,
+}
+
+impl Slot {
+    fn new() -> Slot {
+        Slot {
+            mailbox: watch::Sender::new(None),
+            beat: AtomicU64::new(0),
+            ordered: Mutex::new(()),
+        }
+    }
+
+    fn mailbox(&self) -> Option<BrokerBox> {
+        self.mailbox.borrow().clone()
+    }
+
+    /// Waits until the broker is open.
+    async fn opened(&self) -> BrokerBox {
+        let mut mailbox = self.mailbox.subscribe();
+        loop {
+            if let Some(open) = mailbox.borrow_and_update().clone() {
+                return open;
+            }
+            // The slot holds the sender: the channel can't close meanwhile.
+            let _ = mailbox.changed().await;
+        }
+    }
+
+    /// Waits until the broker is open and all ordered requests before this one are handed over.
+    async fn turn(&self) -> Route<'_> {
+        let turn = self.ordered.lock().await;
+        Route {
+            broker: Some(self.opened().await),
+            _turn: Some(turn),
+        }
+    }
+}
+
+/// Where a request goes, and for an ordered one the right to be the next that is handed over there.
+struct Route<'desk> {
+    broker: Option<BrokerBox>,
+    _turn: Option<MutexGuard<'desk, ()>>,
 }
 
 struct Shared {
@@ -48,8 +95,16 @@
     standing: Mutex<Standing>,
 }
 
-/// By session its request, how it is called off, and the broker that has it.
-type Sessions = Arc<Lock<HashMap<SessionKey, (RequestId, CancellationToken, BrokerBox)>>>;
+/// A session's request, how it is called off, and the broker that has it.
+#[derive(Clone, Debug)]
+struct SessionRequest {
+    id: RequestId,
+    cancelled: CancellationToken,
+    /// None until it is handed over.
+    broker: Option<BrokerBox>,
+}
+
+type Sessions = Arc<Lock<HashMap<SessionKey, SessionRequest>>>;
 
 /// A session's entry there, taken out when its request is over.
 #[derive(Debug)]
@@ -59,15 +114,27 @@
 }
 
 impl UnderWay {
-    fn new(sessions: &Sessions, request: &NewRequest, broker: &BrokerBox) -> Option<UnderWay> {
+    fn new(sessions: &Sessions, request: &NewRequest) -> Option<UnderWay> {
         let (key, sessions) = (request.session?, sessions.clone());
-        let entry = (request.id, request.cancelled.clone(), broker.clone());
+        let entry = SessionRequest {
+            id: request.id,
+            cancelled: request.cancelled.clone(),
+            broker: None,
+        };
         sessions
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .insert(key, entry);
         Some(UnderWay { sessions, key })
     }
+
+    /// From now on the broker is told of a cancel.
+    fn hand_over(&self, broker: &BrokerBox) {
+        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(entry) = sessions.get_mut(&self.key) {
+            entry.broker = Some(broker.clone());
+        }
+    }
 }
 
 impl Drop for UnderWay {
@@ -89,13 +156,9 @@
 impl Desk {
     /// A desk before so many brokers, none of which has come yet.
     pub fn new(shards: usize, seed: u64, figures: Figures, tuning: Tuning) -> Desk {
-        let slot = |_| Slot {
-            mailbox: RwLock::new(None),
-            beat: AtomicU64::new(0),
-        };
         Desk {
             shared: Arc::new(Shared {
-                slots: (0..shards).map(slot).collect(),
+                slots: (0..shards).map(|_| Slot::new()).collect(),
                 figures,
                 tuning: RwLock::new(Arc::new(tuning.clone())),
                 seed,
@@ -111,9 +174,7 @@
     }
 
     fn mailbox(&self, shard: usize) -> Option<BrokerBox> {
-        let mailbox = &self.slots().get(shard)?.mailbox;
-        let mailbox = mailbox.read().unwrap_or_else(PoisonError::into_inner);
-        mailbox.clone()
+        self.slots().get(shard)?.mailbox()
     }
 
     fn now(&self) -> u64 {
@@ -127,11 +188,20 @@
         }
     }
 
-    /// Whether the shard has shown lately that it runs.
+    /// Whether the shard is open and has shown lately that it runs.
     pub fn lives(&self, shard: usize) -> bool {
-        let slot = self.slots().get(shard);
-        let beat = slot.map_or(0, |slot| slot.beat.load(Ordering::Relaxed));
-        self.now() < beat + SILENT.as_millis() as u64
+        let Some(slot) = self.slots().get(shard) else {
+            return false;
+        };
+        let beat = slot.beat.load(Ordering::Relaxed);
+        slot.mailbox.borrow().is_some() && self.now() < beat + SILENT.as_millis() as u64
+    }
+
+    /// Waits until every shard has opened.
+    pub async fn opened(&self) {
+        for slot in self.slots() {
+            slot.opened().await;
+        }
     }
 
     /// A broker has come: it is told what holds, and then takes requests.
@@ -150,8 +220,7 @@
         }
         self.beat(shard);
         if let Some(slot) = self.slots().get(shard) {
-            let mut place = slot.mailbox.write().unwrap_or_else(PoisonError::into_inner);
-            *place = Some(mailbox);
+            slot.mailbox.send_replace(Some(mailbox));
         }
         Ok(())
     }
@@ -159,29 +228,57 @@
     /// A broker has gone.
     pub fn close(&self, shard: usize) {
         if let Some(slot) = self.slots().get(shard) {
-            let mut place = slot.mailbox.write().unwrap_or_else(PoisonError::into_inner);
-            *place = None;
+            slot.mailbox.send_replace(None);
         }
     }
 
-    /// The mailbox for a request: of the shard that its id names, or its key, as requests of one key keep their order; or of
-    /// another while that one is silent.
-    fn mailbox_for(&self, request: &NewRequest) -> Option<BrokerBox> {
+    /// The shard that a name draws at this turn.
+    fn draw(&self, name: u64, turn: u64) -> usize {
+        (mix(name ^ mix(self.shared.seed ^ turn)) % self.slots().len() as u64) as usize
+    }
+
+    /// The mailbox for a request that keeps no order: of the shard that its id names, or of another while that one
+    /// is silent.
+    fn mailbox_for(&self, id: RequestId) -> Option<BrokerBox> {
         let shards = self.slots().len() as u64;
         if shards == 1 {
             return self.mailbox(0);
         }
-        let key = request.order_key.as_deref().map(Key::of);
-        let name = key.map_or(request.id.0, |key| key.0);
-        let draw = |turn: u64| (mix(name ^ mix(self.shared.seed ^ turn)) % shards) as usize;
-        // Of one that keeps an order the shard is waited for as long as it is there: another knows nothing of those before.
-        let own = key.and_then(|_| self.mailbox(draw(0)));
-        if own.is_some() {
-            return own;
-        }
-        let mut living = (0..4 * shards).map(draw).filter(|shard| self.lives(*shard));
+        let draws = (0..4 * shards).map(|turn| self.draw(id.0, turn));
+        let mut living = draws.filter(|shard| self.lives(*shard));
         let living = living.find_map(|shard| self.mailbox(shard));
-        living.or_else(|| self.mailbox(draw(0)))
+        living.or_else(|| self.mailbox(self.draw(id.0, 0)))
+    }
+
+    /// Where requests of this one's key keep their order, if it has a key and there are several shards.
+    fn ordered_slot(&self, request: &NewRequest) -> Option<&Slot> {
+        let key = Key::of(request.order_key.as_deref()?);
+        let slots = self.slots();
+        (slots.len() > 1).then(|| &slots[self.draw(key.0, 0)])
+    }
+
+    /// Where a request goes. An ordered one waits for its turn as long as its client waits: another shard knows nothing
+    /// of those before it. The error is the answer to one that is not handed over.
+    async fn route(&self, request: &NewRequest) -> Result<Route<'_>, Answer> {
+        let Some(slot) = self.ordered_slot(request) else {
+            return Ok(Route {
+                broker: self.mailbox_for(request.id),
+                _turn: None,
+            });
+        };
+        tokio::select! {
+            biased;
+            () = request.cancelled.cancelled() => Err(Answer::Failed(Failure::Cancelled)),
+            route = slot.turn() => Ok(route),
+            // It has not run: trying again is harmless, whatever its class.
+            () = sleep_until(request.deadline) => Err(self.refusal()),
+        }
+    }
+
+    fn refusal(&self) -> Answer {
+        Answer::Refused {
+            retry_after: duration(self.tuning().settings.max_retry_after),
+        }
     }
 
     /// Hands a request over; the answer is waited for on what this returns.
@@ -190,20 +287,29 @@
         let tuning = self.tuning();
         let class = tuning.settings.classes.get(request.class.0);
         let lost = match class {
-            Some(class) if class.effect == Effect::Repeatable => Answer::Refused {
-                retry_after: duration(tuning.settings.max_retry_after),
-            },
+            Some(class) if class.effect == Effect::Repeatable => self.refusal(),
             _ => Answer::Failed(Failure::Ending),
         };
         let running = class.map(|class| self.shared.figures.take(&class.name));
-        let mailbox = self.mailbox_for(&request);
-        let under_way = mailbox.as_ref();
-        let under_way =
-            under_way.and_then(|broker| UnderWay::new(&self.shared.sessions, &request, broker));
-        let pending = Pending::new(&request, answer, mailbox.clone(), lost, running, under_way);
-        if let Some(mailbox) = mailbox {
+        let under_way = UnderWay::new(&self.shared.sessions, &request);
+        let route = match self.route(&request).await {
+            Ok(route) => route,
+            Err(unsent) => {
+                let _ = reply.send(unsent);
+                return Pending::new(&request, answer, None, lost, running, under_way);
+            }
+        };
+        if let (Some(under_way), Some(broker)) = (&under_way, &route.broker) {
+            under_way.hand_over(broker);
+        }
+        let broker = route.broker.clone();
+        let pending = Pending::new(&request, answer, broker, lost, running, under_way);
+        if request.cancelled.is_cancelled() {
+            // Cancelled before its session's entry named the broker, which would not hear of the cancel.
+            let _ = reply.send(Answer::Failed(Failure::Cancelled));
+        } else if let Some(broker) = &route.broker {
             // Where the broker is gone, the reply goes with the message and the answer says so.
-            let _ = mailbox.send(ToBroker::Submit(request, reply)).await;
+            let _ = broker.send(ToBroker::Submit(request, reply)).await;
         }
         pending
     }
@@ -217,10 +323,16 @@
         let under_way = {
             let sessions = self.shared.sessions.lock();
             let sessions = sessions.unwrap_or_else(PoisonError::into_inner);
-            sessions.get(&session).cloned()
+            let under_way = sessions.get(&session).cloned();
+            // Before the entry can name a broker: whoever has it named looks at this afterwards.
+            if let Some(request) = &under_way {
+                request.cancelled.cancel();
+            }
+            under_way
         };
-        if let Some((id, cancelled, broker)) = under_way {
-            cancelled.cancel();
+        if let Some(SessionRequest { id, broker, .. }) = under_way
+            && let Some(broker) = broker
+        {
             // A broker that is gone has nothing to cancel.
             let _ = broker.send(ToBroker::ClientLeft(id)).await;
         }
