--- a/fleet/src/cold.rs
+++ b/fleet/src/cold.rs
@@ -10,9 +10,9 @@
 //! its point again, with nothing granted: of any number that do so at one moment, those that open a right soon are
 //! as many as of others, since their points are spread alike.
 
-/// A right lasts for so many windows at the most, and at least.
+/// A right lasts for so many windows at the most, and at least: a shorter one is mostly lost before it is used.
 const LONGEST_LIFE: f64 = 2.0;
-const SHORTEST_LIFE: f64 = 0.5;
+const SHORTEST_LIFE: f64 = 1.0;
 /// Share of what the rule allows that is granted: weights are estimates. Where it allows four times what an
 /// engine can do, just that is granted.
 const MARGIN: f64 = 0.75;
