--- a/dispatcher/tests/scenarios/main.rs
+++ b/dispatcher/tests/scenarios/main.rs
@@ -4,6 +4,8 @@
 mod closes;
 mod command_line;
 mod engines;
+#[path = "../faults/mod.rs"]
+mod faults;
 mod flight_client;
 mod flight_engine;
 mod fronts;
--- a/dispatcher/tests/scenarios/stage.rs
+++ b/dispatcher/tests/scenarios/stage.rs
@@ -11,6 +11,7 @@
 //! program: `send reload LOG`, `send half` and `send put TEXT => TEXT` replace its file, or a text in it, and tell it,
 //! `close` ends it in order.
 
+use crate::faults::Faults;
 use crate::{engines, flight_client, flight_engine, pg_client};
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
@@ -62,6 +63,30 @@
     config: String,
 }
 
+/// How the program is started.
+pub struct Options<'a> {
+    pub workers: usize,
+    /// The settings in the platform's file.
+    pub settings: &'a str,
+    /// Where clients are to connect.
+    pub listen: &'a str,
+    pub faults: Option<&'a Faults>,
+    /// The start of every engine by its own clock, as the list tells it.
+    pub boot_ms: u64,
+}
+
+impl Default for Options<'_> {
+    fn default() -> Self {
+        Options {
+            workers: 1,
+            settings: SETTINGS,
+            listen: "127.0.0.1:0",
+            faults: None,
+            boot_ms: 0,
+        }
+    }
+}
+
 /// Descriptors of the program.
 pub const SOCKETS: usize = 128;
 
@@ -79,11 +104,16 @@
 
 /// An engine as the change log lists it.
 fn target(name: &str, endpoint: &str, state: &str) -> String {
+    target_started(name, endpoint, state, 0)
+}
+
+/// The same, with its start by its own clock.
+fn target_started(name: &str, endpoint: &str, state: &str, boot_ms: u64) -> String {
     let uid = name
         .bytes()
         .fold(0u32, |sum, byte| sum * 256 + u32::from(byte));
     format!(
-        r#"{{"uid":"s-{uid:08x}","endpoint":"{endpoint}","az":"a","model":"std","pod_group":0,"state":"{state}","capacity_hint":1,"boot_ms":0}}"#
+        r#"{{"uid":"s-{uid:08x}","endpoint":"{endpoint}","az":"a","model":"std","pod_group":0,"state":"{state}","capacity_hint":1,"boot_ms":{boot_ms}}}"#
     )
 }
 
@@ -95,6 +125,29 @@
 
     /// The same with the program on so many workers.
     pub fn with_workers(engines: &[&str], workers: usize) -> Stage {
+        let options = Options {
+            workers,
+            ..Options::default()
+        };
+        Stage::with(engines, &options)
+    }
+
+    /// The same with the program started in this way.
+    pub fn with(engines: &[&str], options: &Options) -> Stage {
+        let mut stage = Stage::starting(engines, options);
+        stage.serving();
+        stage
+    }
+
+    /// Starts the program, and does not wait until it serves.
+    pub fn starting(engines: &[&str], options: &Options) -> Stage {
+        let Options {
+            workers,
+            settings,
+            listen,
+            faults,
+            boot_ms,
+        } = options;
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -115,15 +168,15 @@
             match &name[..1] {
                 "e" => {
                     runtime.spawn(engines::resp(listener, role));
-                    targets.push(target(name, &endpoint, "up"));
+                    targets.push(target_started(name, &endpoint, "up", *boot_ms));
                 }
                 "g" => {
                     runtime.spawn(flight_engine::serve(listener, role));
-                    targets.push(target(name, &endpoint, "up"));
+                    targets.push(target_started(name, &endpoint, "up", *boot_ms));
                 }
                 "m" => {
                     runtime.spawn(engines::mute(listener, role));
-                    targets.push(target(name, &endpoint, "up"));
+                    targets.push(target_started(name, &endpoint, "up", *boot_ms));
                 }
                 "d" | "s" => {
                     // A change log that is down, or one that takes connections and never says anything.
@@ -149,8 +202,8 @@
             targets.join(",")
         );
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","control":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":{SOCKETS}}},
-               "known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}"#
+            r#"{{"name":"n0","listen":"{listen}","control":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":{SOCKETS}}},
+               "known":{{"seq":1,"results":[{known}]}},"settings":{settings}"#
         );
         let own = format!(
             r#"{{"flight": {{"listen": "127.0.0.1:0"}}, "admin": {{"listen": "127.0.0.1:0"}}, "workers": {workers}}}"#
@@ -168,6 +221,7 @@
             .env_remove("PROXY_LISTEN")
             .env_remove("PROXY_NAME")
             .env("SEDGEBEAM_LOG", "info")
+            .envs(faults.iter().flat_map(|faults| faults.environment()))
             .stderr(std::process::Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -180,7 +234,7 @@
             }
         });
         drop(_inside);
-        let mut stage = Stage {
+        Stage {
             runtime,
             app,
             log,
@@ -189,20 +243,24 @@
             endpoints,
             folder,
             config,
-        };
-        let door = stage.logged("takes calls of operators on ");
-        stage.addresses.insert("o", door);
-        let flight = stage.logged("serves Flight SQL clients on ");
-        stage.addresses.insert("f", flight);
-        let admin = stage.logged("is administered on ");
-        stage.addresses.insert("a", admin);
-        let pg = stage.logged("serves PostgreSQL clients on ");
-        stage.addresses.insert("c", pg);
-        stage
+        }
+    }
+
+    /// Waits until the program serves.
+    pub fn serving(&mut self) {
+        for (kind, words) in [
+            ("o", "takes calls of operators on "),
+            ("f", "serves Flight SQL clients on "),
+            ("a", "is administered on "),
+            ("c", "serves PostgreSQL clients on "),
+        ] {
+            let address = self.logged(words);
+            self.addresses.insert(kind, address);
+        }
     }
 
     /// Waits for a line of the log that holds the words; what stands behind them.
-    fn logged(&mut self, words: &str) -> String {
+    pub fn logged(&mut self, words: &str) -> String {
         let mut last = String::new();
         loop {
             let line = self
--- a/fronts/src/pg/tests.rs
+++ b/fronts/src/pg/tests.rs
@@ -3,8 +3,8 @@
 use super::*;
 use crate::leave::Staying;
 use crate::places::Places;
-use crate::test_desk::{STATEMENT, desk, refuse};
-use sedgebeam_operation::Drain;
+use crate::test_desk::{STATEMENT, desk, refuse, submitted};
+use sedgebeam_operation::{Drain, Orders};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -30,7 +30,12 @@
     let mut bytes = (body.len() as u32 + 8).to_be_bytes().to_vec();
     bytes.extend((3u32 << 16).to_be_bytes());
     bytes.extend(body);
-    bytes.push(b'Q');
+    bytes.extend(query(statement));
+    bytes
+}
+
+fn query(statement: &str) -> Vec<u8> {
+    let mut bytes = vec![b'Q'];
     bytes.extend((statement.len() as u32 + 5).to_be_bytes());
     bytes.extend(statement.as_bytes());
     bytes.push(0);
@@ -55,19 +60,10 @@
     }
 }
 
-/// Has the front serve a connection that begins with this query; the broker refuses it with that advice, if it comes so far.
-async fn refused(
-    desk: &Desk,
-    drain: Drain,
-    statement: &str,
-    broker: Option<(
-        &mut tokio::sync::mpsc::Receiver<sedgebeam_port::ToBroker>,
-        Duration,
-    )>,
-) -> (String, Option<String>) {
+/// Has the front serve a connection on which the client has said this; the client's end, and the drain's orders.
+async fn session(desk: &Desk, drain: Drain, said: &[u8]) -> (TcpStream, watch::Sender<Orders>) {
     let (mut client, server) = pair().await;
-    let said = startup_and(statement);
-    client.write_all(&said).await.expect("writes");
+    client.write_all(said).await.expect("writes");
     // All of it is there to be read before the session begins.
     let mut there = vec![0; said.len()];
     while server.peek(&mut there).await.expect("reads") < said.len() {}
@@ -77,9 +73,23 @@
         farewells: Arc::new(Semaphore::new(4)),
     };
     let (place, _) = Places::new(1).take().expect("a place");
-    let orders = watch::channel(drain.orders(Duration::ZERO)).1;
+    let (order, orders) = watch::channel(drain.orders(Duration::ZERO));
     let leave = Staying::new(orders, Instant::now()).newcomer(0.5);
     tokio::spawn(serve(server, serving, SessionKey(7), leave, place));
+    (client, order)
+}
+
+/// Has the front serve a connection that begins with this query; the broker refuses it with that advice, if it comes so far.
+async fn refused(
+    desk: &Desk,
+    drain: Drain,
+    statement: &str,
+    broker: Option<(
+        &mut tokio::sync::mpsc::Receiver<sedgebeam_port::ToBroker>,
+        Duration,
+    )>,
+) -> (String, Option<String>) {
+    let (mut client, _) = session(desk, drain, &startup_and(statement)).await;
     if let Some((broker, retry_after)) = broker {
         refuse(broker, retry_after).await;
     }
@@ -158,3 +168,38 @@
     tokio::spawn(async move { turn_away(server, &Shared { desk }, why).await });
     error(&mut client).await
 }
+
+/// A statement of a request of this name, whose client waits for so many milliseconds.
+fn limited(name: u64, limit: u64) -> String {
+    format!("/* verb=lookup,txn={name:016x},limit={limit} */ SELECT 1 FROM sales_1.orders")
+}
+
+const NO_ADVICE: Answer = Answer::Refused {
+    retry_after: Duration::ZERO,
+};
+
+/// Lets everything that can run do so, while the clock stands still.
+async fn run_all() {
+    for _ in 0..1000 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[test]
+fn a_command_sent_ahead_has_waited_since_it_was_read() {
+    inside(async {
+        let (desk, mut broker) = desk(1000).await;
+        let mut said = startup_and(&limited(1, 60_000));
+        said.extend(query(&limited(2, 1_500)));
+        let (_client, _order) = session(&desk, Drain::new(false), &said).await;
+        let (_, reply) = submitted(&mut broker).await;
+        tokio::time::pause();
+        run_all().await;
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert!(reply.send(NO_ADVICE).is_ok(), "is waited for");
+        run_all().await;
+        let (request, _reply) = submitted(&mut broker).await;
+        let left = request.deadline - Instant::now();
+        assert!(left <= Duration::from_millis(500), "{left:?} are left");
+    });
+}
--- a/fronts/src/test_desk.rs
+++ b/fronts/src/test_desk.rs
@@ -2,11 +2,11 @@
 
 use sedgebeam_core::{Class, Micros, Settings};
 use sedgebeam_operation::Figures;
-use sedgebeam_port::{Answer, Desk, ToBroker};
+use sedgebeam_port::{Answer, Desk, NewRequest, ToBroker};
 use sedgebeam_retune::Tuning;
 use sedgebeam_settings::Names;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// A statement of the only class.
 pub const STATEMENT: &str =
@@ -37,14 +37,21 @@
     (desk, broker)
 }
 
-/// Refuses the next request, with this advice.
-pub async fn refuse(broker: &mut mpsc::Receiver<ToBroker>, retry_after: Duration) {
+/// The next request, and where its answer goes.
+pub async fn submitted(
+    broker: &mut mpsc::Receiver<ToBroker>,
+) -> (NewRequest, oneshot::Sender<Answer>) {
     while let Some(told) = broker.recv().await {
-        if let ToBroker::Submit(_, reply) = told {
-            let refused = Answer::Refused { retry_after };
-            reply.send(refused).expect("is waited for");
-            return;
+        if let ToBroker::Submit(request, reply) = told {
+            return (request, reply);
         }
     }
     panic!("no request has come");
 }
+
+/// Refuses the next request, with this advice.
+pub async fn refuse(broker: &mut mpsc::Receiver<ToBroker>, retry_after: Duration) {
+    let (_, reply) = submitted(broker).await;
+    let refused = Answer::Refused { retry_after };
+    reply.send(refused).expect("is waited for");
+}
