Start an engine's actor for its first attempt or probe, and let it end when it rests

Cause: the broker started an actor, with two channels whose first blocks are allocated at once, for each engine of the list, called or not, and each of them woke whenever a connection slot was wanted. Now the first attempt or probe starts it; an actor with nothing out, no probe, no connection and no backoff says so, and is let go if it has taken all that it was told of. One that its engine turns away stays, as the backoff is its own. Names of engines have an index: a list was compared with all that was known, entry by entry. A line of the change log may have 2 MB, 640 bytes an engine of the largest fleet. Two tests' stand-in worlds inject their faults where an engine is listed, as its start comes later; one test passes over the new report.

--- /dev/null
+++ b/broker/src/engines.rs
@@ -0,0 +1,235 @@
+//! The engines of the list, their numbers, and the actors of those that are in use.
+//!
+//! A list may hold thousands of engines of which one dispatcher uses a few at a time: an engine's actor is started for the first
+//! attempt or probe, and ends once it has nothing out and no connection left.
+
+use super::{Broker, EngineBox, post};
+use sedgebeam_core::{
+    AttemptNo, CellId, Engine, EngineId, EngineState, Event, Key, ListKind, Load, Outcome,
+    RequestId,
+};
+use sedgebeam_port::{Listing, Probe, Reports, Resting, Target, ToEngine};
+use sedgebeam_settings::micros;
+use std::collections::HashSet;
+use tokio::time::Instant;
+
+/// An engine as the broker knows it.
+#[derive(Default)]
+pub(super) struct Known {
+    pub target: Target,
+    pub ready: bool,
+    /// None while nothing is asked of the engine.
+    pub actor: Option<Actor>,
+}
+
+/// The actor of an engine, from here.
+pub(super) struct Actor {
+    pub mailbox: EngineBox,
+    /// Attempts and probes that it has been told of.
+    pub told: u64,
+}
+
+impl Known {
+    /// Tells the engine's actor of an attempt or a probe, and starts it where none runs; `None` where it takes no more.
+    pub fn post(
+        &mut self,
+        message: ToEngine,
+        start: impl FnOnce(&Target) -> EngineBox,
+    ) -> Option<EngineBox> {
+        let target = &self.target;
+        let actor = self.actor.get_or_insert_with(|| Actor {
+            mailbox: start(target),
+            told: 0,
+        });
+        actor.mailbox.try_send(message).ok()?;
+        actor.told += 1;
+        Some(actor.mailbox.clone())
+    }
+
+    /// Has what is not written yet come back.
+    fn nothing_new(&self) {
+        if let Some(actor) = &self.actor {
+            post(&actor.mailbox, ToEngine::NothingNew);
+        }
+    }
+
+    /// Lets the actor end that reports so, if it has taken all that it was told of. One that was told of more meanwhile
+    /// reports again.
+    fn let_go(&mut self, resting: &Resting) {
+        let done = |actor: &Actor| {
+            let mailbox = resting.mailbox.upgrade();
+            let same = mailbox.is_some_and(|mailbox| mailbox.same_channel(&actor.mailbox));
+            same && actor.told == resting.taken
+        };
+        if self.actor.as_ref().is_some_and(done) {
+            self.actor = None;
+        }
+    }
+}
+
+impl Broker {
+    pub(super) fn probe(&mut self, engine: EngineId) {
+        let start = |target: &Target| {
+            self.world
+                .start(target, Reports::new(engine, self.own.clone()))
+        };
+        let known = self.engines.get_mut(&engine);
+        let asked = known.and_then(|known| known.post(ToEngine::Probe, start));
+        if asked.is_none() {
+            self.events
+                .push(Event::Probed(engine, Outcome::ConnectFailed, None));
+        }
+    }
+
+    pub(super) fn list(&mut self, listing: Listing, targets: Vec<Target>) {
+        let mut engines = Vec::new();
+        for target in &targets {
+            let id = self.identify(&target.uid);
+            let state = self.state(target);
+            match state {
+                EngineState::Gone => {
+                    self.forget(id);
+                    if let Some(part) = &self.part {
+                        part.forget(&target.uid);
+                    }
+                }
+                state => self.know(id, target, state == EngineState::Ready),
+            }
+            engines.push(self.entry(id, target, state));
+        }
+        let kind = match listing {
+            Listing::Saved => ListKind::Saved,
+            Listing::Complete => ListKind::Complete,
+            Listing::Changes => ListKind::Changes,
+        };
+        if listing != Listing::Changes {
+            let listed: HashSet<EngineId> = engines.iter().map(|engine| engine.id).collect();
+            let known = self.engines.keys().copied();
+            let gone: Vec<EngineId> = known.filter(|id| !listed.contains(id)).collect();
+            gone.into_iter().for_each(|id| self.forget(id));
+        }
+        self.events.push(Event::List { kind, engines });
+        self.tell_engines();
+    }
+
+    fn entry(&self, id: EngineId, target: &Target, state: EngineState) -> Engine {
+        Engine {
+            id,
+            zone: target.az.as_deref().and_then(|zone| self.names.zone(zone)),
+            kind: target
+                .model
+                .as_deref()
+                .and_then(|kind| self.names.kind(kind)),
+            cell: CellId(target.pod_group.unwrap_or_default()),
+            state,
+            started_at: micros(target.boot_ms.unwrap_or_default()),
+        }
+    }
+
+    fn state(&self, target: &Target) -> EngineState {
+        match target.state.as_str() {
+            "up" if !self.drained.contains(&target.uid) => EngineState::Ready,
+            "up" | "draining" => EngineState::Draining,
+            _ => EngineState::Gone,
+        }
+    }
+
+    /// The number of an engine: that in its name, so that all dispatchers order engines alike.
+    pub(super) fn identify(&self, uid: &str) -> EngineId {
+        if let Some(id) = self.numbers.get(uid) {
+            return *id;
+        }
+        if let Some(part) = &self.part {
+            return part.identify(uid, || number_in(uid));
+        }
+        let mut number = number_in(uid);
+        while self.engines.contains_key(&EngineId(number)) {
+            number = number.wrapping_add(1);
+        }
+        EngineId(number)
+    }
+
+    fn know(&mut self, id: EngineId, target: &Target, ready: bool) {
+        let before = self.engines.get(&id).map(|known| &known.target.state);
+        if before != Some(&target.state) {
+            log::info!(
+                "engine {} at {}: {}",
+                target.uid,
+                target.endpoint,
+                target.state
+            );
+        }
+        let moved = self
+            .engines
+            .get(&id)
+            .is_some_and(|known| known.target.endpoint != target.endpoint);
+        if moved {
+            self.forget(id);
+        }
+        if self.numbers.insert(target.uid.clone(), id).is_none() {
+            self.world.listed(target);
+        }
+        let known = self.engines.entry(id).or_default();
+        known.target = target.clone();
+        known.ready = ready;
+        if !ready {
+            known.nothing_new();
+        }
+    }
+
+    /// An engine is gone from the list; its actor ends once nothing of it is out.
+    pub(super) fn forget(&mut self, id: EngineId) {
+        if let Some(known) = self.engines.remove(&id) {
+            log::info!("engine {}: no longer listed", known.target.uid);
+            if let Some(part) = &self.part {
+                part.forget(&known.target.uid);
+            }
+            self.numbers.remove(&known.target.uid);
+            known.nothing_new();
+        }
+    }
+
+    /// An engine's actor has nothing to do; it ends, unless it has been told something meanwhile.
+    pub(super) fn rests(&mut self, engine: EngineId, resting: &Resting) {
+        if let Some(known) = self.engines.get_mut(&engine) {
+            known.let_go(resting);
+        }
+    }
+
+    /// Guards against attempts that wait for an actor that has died.
+    pub(super) fn engine_died(&mut self, engine: EngineId) {
+        let now = Instant::now();
+        let out = self.open.iter().flat_map(|(id, open)| {
+            let there = open.all_out().filter(|(_, out)| out.engine == engine);
+            there.map(|(number, _)| (*id, number))
+        });
+        let out: Vec<(RequestId, AttemptNo)> = out.collect();
+        for (id, number) in out {
+            if self.is_given_up(id, number) {
+                self.confirmed(id, number);
+            } else if let Some(out) = self.take_back(id, number) {
+                self.report(id, number, engine, Outcome::Reset, out.sent, now);
+            }
+        }
+        // The next attempt or probe starts another.
+        if let Some(known) = self.engines.get_mut(&engine) {
+            known.actor = None;
+        }
+    }
+}
+
+/// The number that an engine's name ends in, or else one made of it.
+fn number_in(uid: &str) -> u64 {
+    let told = uid.rsplit('-').next();
+    let told = told.and_then(|hex| u64::from_str_radix(hex, 16).ok());
+    told.unwrap_or_else(|| Key::of(uid).0)
+}
+
+pub(super) fn probed(probe: Probe) -> (Outcome, Option<Load>) {
+    match probe {
+        Probe::Up(load) => (Outcome::Ok, load),
+        Probe::Down => (Outcome::Error, None),
+        Probe::Silent => (Outcome::TimedOut, None),
+        Probe::ConnectFailed => (Outcome::ConnectFailed, None),
+    }
+}
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -4,26 +4,28 @@
 //! came, in batches no closer than a tick, one outcome for each send, and attempts numbered from 0.
 
 mod admin;
+mod engines;
 pub mod parts;
 mod requests;
 #[cfg(test)]
 mod tests;
 
 use admin::Tally;
+use engines::{Known, probed};
 use parts::Part;
 use requests::{GivenUp, Open, Out};
 use sedgebeam_core::{
-    Action, AttemptNo, CellId, Effect, Ended, Engine, EngineId, EngineState, Event, Gateway, Held,
-    Key, ListKind, Micros, Outcome, Published, Query, RequestId, Settings, TimerId,
+    Action, AttemptNo, Effect, Ended, EngineId, Event, Gateway, Held, Key, Micros, Outcome,
+    Published, Query, RequestId, Settings, TimerId,
 };
 use sedgebeam_operation::{Figures, figures};
 use sedgebeam_port::clock::{Clock, duration, span};
 use sedgebeam_port::{
     Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
-    NewRequest, Page, Probe, Report, Reports, Target, ToBroker, ToEngine, memory_grant,
+    NewRequest, Page, Report, Reports, Target, ToBroker, ToEngine, memory_grant,
 };
 use sedgebeam_retune::Tuning;
-use sedgebeam_settings::{Names, micros};
+use sedgebeam_settings::Names;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,13 +52,6 @@
     Answer(RequestId, Instant),
 }
 
-/// An engine as the broker knows it.
-struct Known {
-    target: Target,
-    mailbox: EngineBox,
-    ready: bool,
-}
-
 pub struct Broker {
     gateway: Gateway,
     settings: Settings,
@@ -72,6 +67,8 @@
     own: BrokerBox,
     open: HashMap<RequestId, Open>,
     engines: BTreeMap<EngineId, Known>,
+    /// The numbers of the engines that are known, by their names.
+    numbers: HashMap<String, EngineId>,
     /// Engines that the administration has drained, whatever the list says.
     drained: BTreeSet<String>,
     counters: Tally,
@@ -121,6 +118,7 @@
         own: own.clone(),
         open: HashMap::new(),
         engines: BTreeMap::new(),
+        numbers: HashMap::new(),
         drained: BTreeSet::new(),
         counters: Tally::default(),
         figures: setup.figures,
@@ -366,6 +364,7 @@
                 let (outcome, load) = probed(probe);
                 self.events.push(Event::Probed(engine, outcome, load));
             }
+            ToBroker::Engine(engine, Report::Resting(resting)) => self.rests(engine, &resting),
             ToBroker::EngineDied(engine) => self.engine_died(engine),
             ToBroker::List(listing, targets) => self.list(listing, targets),
             ToBroker::HeldOver(reply) => {
@@ -555,7 +554,7 @@
             log::error!("a send for request {:016x}, which is not open", id.0);
             return;
         };
-        let known = self.engines.get(&to).filter(|known| known.ready);
+        let known = self.engines.get_mut(&to).filter(|known| known.ready);
         let number = AttemptNo(open.attempts.len() as u32);
         let most = self.settings.max_attempts;
         let spent = most > 0 && number.0 >= most;
@@ -590,10 +589,11 @@
                 self.clock.instant(by).min(now + timeout)
             }),
         };
-        let (mailbox, cancelled) = (known.mailbox.clone(), attempt.cancelled.clone());
-        if mailbox.try_send(ToEngine::Send(attempt)).is_err() {
+        let cancelled = attempt.cancelled.clone();
+        let start = |target: &Target| self.world.start(target, Reports::new(to, self.own.clone()));
+        let Some(mailbox) = known.post(ToEngine::Send(attempt), start) else {
             return self.not_sent(id, to, Outcome::ConnectFailed, now);
-        }
+        };
         open.attempts.push(Some(Out {
             engine: to,
             mailbox,
@@ -753,162 +753,6 @@
             load,
         }));
     }
-
-    // ---- Engines ----
-
-    fn probe(&mut self, engine: EngineId) {
-        let known = self.engines.get(&engine);
-        let asked = known.is_some_and(|known| known.mailbox.try_send(ToEngine::Probe).is_ok());
-        if !asked {
-            self.events
-                .push(Event::Probed(engine, Outcome::ConnectFailed, None));
-        }
-    }
-
-    fn list(&mut self, listing: Listing, targets: Vec<Target>) {
-        let mut engines = Vec::new();
-        for target in &targets {
-            let id = self.identify(&target.uid);
-            let state = self.state(target);
-            match state {
-                EngineState::Gone => {
-                    self.forget(id);
-                    if let Some(part) = &self.part {
-                        part.forget(&target.uid);
-                    }
-                }
-                state => self.know(id, target, state == EngineState::Ready),
-            }
-            engines.push(self.entry(id, target, state));
-        }
-        let kind = match listing {
-            Listing::Saved => ListKind::Saved,
-            Listing::Complete => ListKind::Complete,
-            Listing::Changes => ListKind::Changes,
-        };
-        if listing != Listing::Changes {
-            let listed = |id: &EngineId| engines.iter().any(|engine| engine.id == *id);
-            let gone: Vec<EngineId> = self
-                .engines
-                .keys()
-                .filter(|id| !listed(id))
-                .copied()
-                .collect();
-            gone.into_iter().for_each(|id| self.forget(id));
-        }
-        self.events.push(Event::List { kind, engines });
-        self.tell_engines();
-    }
-
-    fn entry(&self, id: EngineId, target: &Target, state: EngineState) -> Engine {
-        Engine {
-            id,
-            zone: target.az.as_deref().and_then(|zone| self.names.zone(zone)),
-            kind: target
-                .model
-                .as_deref()
-                .and_then(|kind| self.names.kind(kind)),
-            cell: CellId(target.pod_group.unwrap_or_default()),
-            state,
-            started_at: micros(target.boot_ms.unwrap_or_default()),
-        }
-    }
-
-    fn state(&self, target: &Target) -> EngineState {
-        match target.state.as_str() {
-            "up" if !self.drained.contains(&target.uid) => EngineState::Ready,
-            "up" | "draining" => EngineState::Draining,
-            _ => EngineState::Gone,
-        }
-    }
-
-    /// The number of an engine: that in its name, so that all dispatchers order engines alike.
-    fn identify(&self, uid: &str) -> EngineId {
-        let known = self
-            .engines
-            .iter()
-            .find(|(_, known)| known.target.uid == uid);
-        if let Some((id, _)) = known {
-            return *id;
-        }
-        if let Some(part) = &self.part {
-            return part.identify(uid, || number_in(uid));
-        }
-        let mut number = number_in(uid);
-        while self.engines.contains_key(&EngineId(number)) {
-            number = number.wrapping_add(1);
-        }
-        EngineId(number)
-    }
-
-    fn know(&mut self, id: EngineId, target: &Target, ready: bool) {
-        let before = self.engines.get(&id).map(|known| &known.target.state);
-        if before != Some(&target.state) {
-            log::info!(
-                "engine {} at {}: {}",
-                target.uid,
-                target.endpoint,
-                target.state
-            );
-        }
-        let moved = self
-            .engines
-            .get(&id)
-            .is_some_and(|known| known.target.endpoint != target.endpoint);
-        if moved {
-            self.forget(id);
-        }
-        let (world, reports) = (&self.world, Reports::new(id, self.own.clone()));
-        let known = self.engines.entry(id).or_insert_with(|| Known {
-            target: target.clone(),
-            mailbox: world.start(target, reports),
-            ready,
-        });
-        known.target = target.clone();
-        known.ready = ready;
-        if !ready {
-            post(&known.mailbox, ToEngine::NothingNew);
-        }
-    }
-
-    /// An engine is gone from the list; its actor ends once nothing of it is out.
-    fn forget(&mut self, id: EngineId) {
-        if let Some(known) = self.engines.remove(&id) {
-            log::info!("engine {}: no longer listed", known.target.uid);
-            if let Some(part) = &self.part {
-                part.forget(&known.target.uid);
-            }
-            post(&known.mailbox, ToEngine::NothingNew);
-        }
-    }
-
-    /// Guards against attempts that wait for an actor that has died.
-    fn engine_died(&mut self, engine: EngineId) {
-        let now = Instant::now();
-        let out = self.open.iter().flat_map(|(id, open)| {
-            let there = open.all_out().filter(|(_, out)| out.engine == engine);
-            there.map(|(number, _)| (*id, number))
-        });
-        let out: Vec<(RequestId, AttemptNo)> = out.collect();
-        for (id, number) in out {
-            if self.is_given_up(id, number) {
-                self.confirmed(id, number);
-            } else if let Some(out) = self.take_back(id, number) {
-                self.report(id, number, engine, Outcome::Reset, out.sent, now);
-            }
-        }
-        if let Some(known) = self.engines.get_mut(&engine) {
-            let reports = Reports::new(engine, self.own.clone());
-            known.mailbox = self.world.start(&known.target, reports);
-        }
-    }
-}
-
-/// The number that an engine's name ends in, or else one made of it.
-fn number_in(uid: &str) -> u64 {
-    let told = uid.rsplit('-').next();
-    let told = told.and_then(|hex| u64::from_str_radix(hex, 16).ok());
-    told.unwrap_or_else(|| Key::of(uid).0)
 }
 
 /// Waits until another shard has let something go; for ever, where there is none.
@@ -919,15 +763,6 @@
     }
 }
 
-fn probed(probe: Probe) -> (Outcome, Option<sedgebeam_core::Load>) {
-    match probe {
-        Probe::Up(load) => (Outcome::Ok, load),
-        Probe::Down => (Outcome::Error, None),
-        Probe::Silent => (Outcome::TimedOut, None),
-        Probe::ConnectFailed => (Outcome::ConnectFailed, None),
-    }
-}
-
 /// Tells an engine's actor what needs no answer.
 fn post(mailbox: &EngineBox, message: ToEngine) {
     if let Err(error) = mailbox.try_send(message) {
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use bytes::Bytes;
 use sedgebeam_core::{ClassId, GroupId};
+use sedgebeam_port::Resting;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -56,8 +57,8 @@
     let (mailbox, sent) = mpsc::channel(16);
     let known = Known {
         target: <Target as Default>::default(),
-        mailbox,
         ready: true,
+        actor: Some(engines::Actor { mailbox, told: 0 }),
     };
     broker.engines.insert(ENGINE, known);
     let (reply, answer) = oneshot::channel();
@@ -680,3 +681,30 @@
         assert_eq!(died.outcomes(), [(0, Outcome::Cancelled, false)]);
     });
 }
+
+/// An engine's actor lets go, and an attempt crosses its word: it must not be left with an actor that ends.
+#[test]
+fn an_actor_that_rests_ends_unless_it_was_told_of_more_meanwhile() {
+    inside(|| {
+        let mut bench = bench();
+        let mailbox = bench.broker.engines[&ENGINE].actor.as_ref();
+        let mailbox = mailbox.expect("an actor").mailbox.downgrade();
+        let resting = |taken| Resting {
+            mailbox: mailbox.clone(),
+            taken,
+        };
+        let runs = |bench: &Bench| bench.broker.engines[&ENGINE].actor.is_some();
+        bench.broker.probe(ENGINE);
+        bench.broker.rests(ENGINE, &resting(0));
+        assert!(runs(&bench), "it has not taken the probe yet");
+        let (other, _kept) = mpsc::channel(1);
+        let foreign = Resting {
+            mailbox: other.downgrade(),
+            taken: 1,
+        };
+        bench.broker.rests(ENGINE, &foreign);
+        assert!(runs(&bench), "the word of an earlier actor");
+        bench.broker.rests(ENGINE, &resting(1));
+        assert!(!runs(&bench));
+    });
+}
--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -49,8 +49,8 @@
     pub caught_up: bool,
 }
 
-/// The longest line that the change log may write: a list of a few thousand engines.
-const MOST_LINE: usize = 1 << 20;
+/// The longest line that the change log may write: a whole list of the largest fleet, 3,200 engines, with 640 bytes for each.
+const MOST_LINE: usize = 2 << 20;
 /// A comment comes each second; after this long without a byte the connection is taken for dead.
 const SILENCE: Duration = Duration::from_millis(1800);
 /// The length of the line end behind a chunk.
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// The next report, but for those that an actor has nothing to do.
+async fn next_but_rests(reports: &mut mpsc::Receiver<ToBroker>) -> Option<ToBroker> {
+    loop {
+        let report = reports.recv().await;
+        if !matches!(report, Some(ToBroker::Engine(_, Report::Resting(_)))) {
+            return report;
+        }
+    }
+}
+
 impl Bench {
     async fn ask(&self, message: ToEngine) {
         self.actor.send(message).await.expect("an actor");
@@ -132,7 +142,7 @@
     }
 
     async fn report(&mut self) -> Report {
-        match self.reports.recv().await {
+        match next_but_rests(&mut self.reports).await {
             Some(ToBroker::Engine(EngineId(1), report)) => report,
             other => panic!("no report: {other:?}"),
         }
@@ -423,7 +433,7 @@
                     assert!(heard.expect("words").starts_with(&format!("fetch {id}")));
                     return;
                 }
-                report = second.reports.recv() => {
+                report = next_but_rests(&mut second.reports) => {
                     let void = Report::Ended(RequestId(id), AttemptNo(0), End::Void);
                     assert_eq!(format!("{report:?}"), format!("{:?}", Some(ToBroker::Engine(EngineId(1), void))));
                 }
--- a/dispatcher/tests/scenarios/workers.rs
+++ b/dispatcher/tests/scenarios/workers.rs
@@ -152,7 +152,7 @@
 }
 
 impl Engines for World {
-    fn start(&self, target: &Target, reports: Reports) -> EngineBox {
+    fn listed(&self, target: &Target) {
         let here = thread() == VICTIM;
         if here && target.uid == "boom-2" && self.boom.swap(false, Ordering::Relaxed) {
             panic!("the broker of {VICTIM} is to die");
@@ -163,6 +163,9 @@
                 released = self.release.wait(released).expect("sound");
             }
         }
+    }
+
+    fn start(&self, _: &Target, reports: Reports) -> EngineBox {
         let (mailbox, mut incoming) = mpsc::channel(64);
         let (sent, worker) = (self.sent.clone(), thread());
         tokio::spawn(async move {
--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -40,7 +40,8 @@
             let actor = flight::run(endpoint, self.clone(), incoming, reports);
             supervise::watch(name, actor, died);
         } else {
-            let actor = resp::run(endpoint, self.clone(), incoming, reports);
+            let own = mailbox.downgrade();
+            let actor = resp::run(endpoint, self.clone(), own, incoming, reports);
             supervise::watch(name, actor, died);
         }
         mailbox
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -17,7 +17,7 @@
 use sedgebeam_core::{AttemptNo, Load, Micros, RequestId};
 use sedgebeam_fleet::reconnect::{Backoff, Connect, Ended, Pauses, Permit};
 use sedgebeam_port::clock::{duration, span};
-use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, ToEngine};
+use sedgebeam_port::{Attempt, End, Page, Probe, Report, Reports, Resting, ToEngine};
 use sedgebeam_settings::Connections;
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -111,19 +111,29 @@
     aborting: HashMap<(Number, RequestId), Aborting>,
     probes: HashMap<u64, Instant>,
     next_probe: u64,
+    /// Attempts and probes taken.
+    taken: u64,
 }
 
-/// Runs until its mailbox is closed and nothing of it is out.
+/// Runs until its mailbox is closed and nothing of it is out. Its own mailbox goes into the report that it rests.
 pub async fn run(
     endpoint: String,
     wires: Wires,
+    own: mpsc::WeakSender<ToEngine>,
     mut mailbox: mpsc::Receiver<ToEngine>,
     reports: Reports,
 ) {
     let (came, mut incoming) = mpsc::channel(MAILBOX);
     let (mut limits, mut wanted) = (wires.connections.clone(), wires.slots.wanted());
     let mut actor = Actor::new(endpoint, wires, reports, came);
+    let mut reported = 0;
     loop {
+        if actor.rests() && actor.taken != reported {
+            reported = actor.taken;
+            let (mailbox, taken) = (own.clone(), actor.taken);
+            let resting = Report::Resting(Resting { mailbox, taken });
+            actor.reports.tell(resting).await;
+        }
         let look = actor.looks_at();
         tokio::select! {
             message = mailbox.recv() => match message {
@@ -167,9 +177,19 @@
             aborting: HashMap::new(),
             probes: HashMap::new(),
             next_probe: 0,
+            taken: 0,
         }
     }
 
+    /// Whether it may end. Not while its engine turns connections away: the backoff would be forgotten with it.
+    fn rests(&self) -> bool {
+        self.out.is_empty()
+            && self.aborting.is_empty()
+            && self.probes.is_empty()
+            && self.connections.is_empty()
+            && !self.backoff.is_failing()
+    }
+
     /// When something may be overdue next; never, where nothing is out and no connection is kept: a dispatcher has hundreds
     /// of engines, and most of them rest.
     fn looks_at(&self) -> Option<Instant> {
@@ -215,6 +235,7 @@
     }
 
     async fn take(&mut self, message: ToEngine) {
+        self.taken += u64::from(matches!(message, ToEngine::Send(_) | ToEngine::Probe));
         match message {
             ToEngine::Send(attempt) => self.send(attempt).await,
             ToEngine::Abort(id, number) => self.abort(id, number).await,
--- a/engines/src/resp/tests.rs
+++ b/engines/src/resp/tests.rs
@@ -203,7 +203,8 @@
         let (mailbox, incoming) = mpsc::channel(1024);
         let (broker, told) = mpsc::channel(1024);
         let reports = Reports::new(EngineId(1), broker);
-        tokio::spawn(run(engine.to_string(), wires, incoming, reports));
+        let own = mailbox.downgrade();
+        tokio::spawn(run(engine.to_string(), wires, own, incoming, reports));
         Dispatcher {
             mailbox,
             told,
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -114,6 +114,17 @@
     GivenUp(RequestId, AttemptNo),
     Note(RequestId, AttemptNo, Note),
     Probed(Probe),
+    /// Nothing is out, no probe is unanswered and no connection is kept: the actor may end.
+    Resting(Resting),
+}
+
+/// An engine's actor that has nothing to do.
+#[derive(Clone, Debug)]
+pub struct Resting {
+    /// Its own mailbox.
+    pub mailbox: mpsc::WeakSender<ToEngine>,
+    /// Attempts and probes that it has taken from there, since its start.
+    pub taken: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -128,6 +139,9 @@
 
 /// Starts the actors of engines: the one thing that the broker needs of the world.
 pub trait Engines: Send + Sync {
+    /// The list names an engine that was not known. Its actor is started once something is asked of it.
+    fn listed(&self, _target: &Target) {}
+
     /// Starts the actor of an engine; it ends by itself once every sender of its mailbox is gone.
     fn start(&self, target: &Target, reports: Reports) -> EngineBox;
 }
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -15,7 +15,8 @@
 pub use answer::{Answer, Broken, Delivery, Failure, Pending};
 pub use desk::{BEAT, Closed, Desk};
 pub use engine::{
-    Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, ToEngine, memory_grant,
+    Attempt, End, EngineBox, Engines, More, Page, Probe, Report, Reports, Resting, ToEngine,
+    memory_grant,
 };
 pub use request::{BrokerBox, NewRequest, SessionKey, ToBroker};
 pub use sedgebeam_roster::{Listing, Target, apply};
