Force what hangs through a shutdown, and short reads, on the program itself

Both scenarios hang: a request at an engine that hangs has no answer after SIGTERM, and with every read giving one byte no answer of a request comes at all.

--- /dev/null
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -0,0 +1,57 @@
+//! Clauses at their extremes: each request has its one answer whatever the system, the clocks and the ends of the process do.
+
+use crate::faults::{Call, Fault, Faults};
+use crate::stage::{Options, SETTINGS, Stage};
+
+/// Settings under which clients wait far longer than the platform does before it kills a process.
+fn patient() -> String {
+    SETTINGS.replace("\"give_up\": 60000.0", "\"give_up\": 600000.0")
+}
+
+#[test]
+fn what_hangs_at_an_engine_is_answered_before_the_earliest_kill() {
+    let settings = patient();
+    let options = Options {
+        settings: &settings,
+        ..Options::default()
+    };
+    Stage::with(&["e1"], &options).play(
+        "c1 send lookup 1 600000
+         e1 expect fetch 1
+         c2 send journal-load 2 600000
+         e1 expect fetch 2
+         app close
+         app wait last call
+         c1 expect error 53300
+         c1 expect closed
+         c2 expect error 58000
+         c2 expect closed
+         app expect 0",
+    );
+}
+
+/// Every read gives one byte, and the rest lies in the socket though nothing more comes.
+#[test]
+fn what_a_short_read_leaves_in_a_socket_is_read() {
+    let faults = Faults::none();
+    let options = Options {
+        faults: Some(&faults),
+        ..Options::default()
+    };
+    let mut stage = Stage::with(&["e1", "log"], &options);
+    stage.play("log expect asked 1");
+    faults.always(Call::Recv, Fault::Short);
+    stage.play(
+        "log send 2 up e1 @e1
+         c1 send lookup 1
+         e1 expect fetch 1
+         e1 send 1 OK 1 a|b|c
+         c1 expect row a|b|c
+         c1 expect complete 1
+         op send PING
+         op expect 200
+         log send 3 draining e1 @e1
+         app wait : draining",
+    );
+    assert!(faults.injected(Call::Recv) > 100);
+}
--- a/dispatcher/tests/scenarios/main.rs
+++ b/dispatcher/tests/scenarios/main.rs
@@ -4,6 +4,7 @@
 mod closes;
 mod command_line;
 mod engines;
+mod extremes;
 #[path = "../faults/mod.rs"]
 mod faults;
 mod flight_client;
