--- a/dispatcher/tests/scenarios/extremes.rs
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -55,3 +55,27 @@
     );
     assert!(faults.injected(Call::Recv) > 100);
 }
+
+/// A lack of buffers, as the system tells of it.
+const ENOBUFS: i32 = 105;
+
+#[test]
+fn an_option_that_can_not_be_set_drops_no_connection() {
+    let faults = Faults::none();
+    let options = Options {
+        faults: Some(&faults),
+        ..Options::default()
+    };
+    let mut stage = Stage::with(&["e1", "log"], &options);
+    faults.always(Call::SetSockOpt, Fault::Error(ENOBUFS));
+    stage.play(
+        "c1 send lookup 1
+         e1 expect fetch 1
+         e1 send 1 OK 1 a|b|c
+         c1 expect row a|b|c
+         c1 expect complete 1
+         log close
+         log expect asked 1",
+    );
+    assert!(faults.injected(Call::SetSockOpt) > 0);
+}
