Read sockets until they would block, and keep connections whose options can't be set

Cause of the first: tokio's reads and writes on epoll take one that moved less than it could for a drained socket and wait for an edge (its own readiness is cleared); after a short read none follows while data lies there. The new package sockets reads and writes until the system says that it would block; it stands under the codecs of clients, engines' answers, change log and door. Cause of the second: set_nodelay's failure returned out of accepting, connecting and following. It is logged and the connection goes on. A connect that fails for a lack on this side (descriptors, buffers, ports) is tried again within its limit: it counted as the engine's.

--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -4,6 +4,7 @@
 use miniserde::{Deserialize, json};
 use sedgebeam_port::{Desk, Listing, Target, apply};
 use sedgebeam_roster::{Follower, Next, Pauses};
+use sedgebeam_sockets::{Stream, without_delay};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -120,10 +121,10 @@
     follower: &mut Follower,
 ) -> io::Result<()> {
     let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no word for too long");
-    let mut stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .map_err(late)??;
-    stream.set_nodelay(true)?;
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(late)??;
+    without_delay(&stream);
+    let mut stream = Stream::new(stream);
     let after = follower.asks_after();
     let request = format!(
         "GET /changes HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {after}\r\n\r\n"
--- a/dispatcher/src/serve/sessions.rs
+++ b/dispatcher/src/serve/sessions.rs
@@ -6,6 +6,7 @@
 use sedgebeam_fronts::places::Places;
 use sedgebeam_operation::{Newcomers, Orders};
 use sedgebeam_port::{SessionKey, supervise};
+use sedgebeam_sockets::without_delay;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -92,10 +93,7 @@
             // Whoever gave way lets its descriptor go before the next one is accepted.
             yield_now().await;
         }
-        if let Err(error) = stream.set_nodelay(true) {
-            log::debug!("a connection ended at once: {error}");
-            return;
-        }
+        without_delay(&stream);
         let (serving, key) = (self.serving.clone(), self.next_key());
         let leave = self
             .staying
--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -7,13 +7,14 @@
 use sedgebeam_core::RequestId;
 use sedgebeam_fleet::reconnect::Connect;
 use sedgebeam_operation::Figures;
+use sedgebeam_sockets::{Reading, is_local, without_delay};
 use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::FramedRead;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -43,6 +44,8 @@
 /// An answer that stays half for this long, or up to twice as long, has stopped short: engines write each
 /// whole, and stand still for less.
 const HALF: Duration = Duration::from_millis(250);
+/// A pause after a connect that failed for a lack on this side.
+const LACK_PAUSE: Duration = Duration::from_millis(20);
 /// An attempt given up after this long without a word on its connection says that the connection is dead.
 const DEAF: Duration = Duration::from_millis(300);
 
@@ -183,13 +186,22 @@
 
     async fn connect(&self) -> io::Result<TcpStream> {
         let late = |_| io::Error::new(io::ErrorKind::TimedOut, "not up in time");
-        let stream = timeout(self.limit, TcpStream::connect(&self.endpoint))
-            .await
-            .map_err(late)??;
-        stream.set_nodelay(true)?;
+        let stream = timeout(self.limit, self.connect_with_patience()).await;
+        let stream = stream.map_err(late)??;
+        without_delay(&stream);
         Ok(stream)
     }
 
+    /// Tries again while it fails for a lack on this side, of which the engine knows nothing.
+    async fn connect_with_patience(&self) -> io::Result<TcpStream> {
+        loop {
+            match TcpStream::connect(&self.endpoint).await {
+                Err(error) if is_local(&error) => sleep(LACK_PAUSE).await,
+                connected => return connected,
+            }
+        }
+    }
+
     /// Writes what is asked for, until nobody can ask any more. What may not begin any more when the socket would take
     /// it is told of instead. Where the connection turns out to be reset, that of which no byte was written never ran.
     async fn write(
@@ -235,7 +247,7 @@
 
     /// Passes on what comes; what can't be read, or stops in the middle, ends the connection.
     async fn read(&self, half: OwnedReadHalf) -> io::Result<()> {
-        let mut replies = FramedRead::new(half, Resp);
+        let mut replies = FramedRead::new(Reading(half), Resp);
         let mut stopped = false;
         loop {
             match timeout(HALF, replies.next()).await {
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -12,6 +12,7 @@
 use codec::{Error, Pg, Said, Say};
 use futures::{FutureExt, SinkExt, StreamExt};
 use sedgebeam_port::{Answer, Broken, Delivery, Desk, Failure, Pending, SessionKey};
+use sedgebeam_sockets::Stream;
 use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
@@ -41,7 +42,7 @@
 /// So many of them in a row end the session, all within the 3 s in which such a client is owed a word.
 const MOST_USELESS: u32 = 7;
 
-type Wire = Framed<TcpStream, Pg>;
+type Wire = Framed<Stream, Pg>;
 
 /// What sessions have in common.
 #[derive(Clone)]
@@ -70,7 +71,7 @@
 ) {
     let gives_way = place.gives_way();
     let mut session = Session {
-        wire: Framed::new(stream, Pg::new(serving.longest)),
+        wire: Framed::new(Stream::new(stream), Pg::new(serving.longest)),
         shared: serving.shared.clone(),
         key,
         leave,
@@ -126,7 +127,7 @@
         Away::Draining => draining(&shared.desk),
     };
     // No statement is read with this one.
-    let mut wire = Framed::new(stream, Pg::new(0));
+    let mut wire = Framed::new(Stream::new(stream), Pg::new(0));
     let heard = async {
         wire.send(Say::Error(told)).await?;
         SinkExt::close(&mut wire).await?;
--- /dev/null
+++ b/sockets/src/errors.rs
@@ -0,0 +1,19 @@
+//! Which failures of system calls are this machine's own, and which may pass.
+
+use rustix::io::Errno;
+use std::io;
+
+/// A lack of this machine's own: of descriptors, memory, buffers or ports.
+const LACKS: [Errno; 6] = [
+    Errno::MFILE,
+    Errno::NFILE,
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::AGAIN,
+    Errno::ADDRNOTAVAIL,
+];
+
+/// Whether a connect failed for a lack on this side: it says nothing of the peer.
+pub fn is_local(error: &io::Error) -> bool {
+    Errno::from_io_error(error).is_some_and(|errno| LACKS.contains(&errno))
+}
