--- a/dispatcher/tests/scenarios/extremes.rs
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -79,3 +79,23 @@
     );
     assert!(faults.injected(Call::SetSockOpt) > 0);
 }
+
+#[test]
+fn listeners_that_can_not_be_had_at_first_are_tried_for_again() {
+    for call in [Call::Socket, Call::SetSockOpt, Call::Bind, Call::Listen] {
+        let faults = Faults::none();
+        faults.times(6, call, Fault::Error(ENOBUFS));
+        let options = Options {
+            faults: Some(&faults),
+            ..Options::default()
+        };
+        let mut stage = Stage::with(&["e1"], &options);
+        assert_eq!(faults.injected(call), 6, "{call:?}");
+        stage.play(
+            "c1 send lookup 1
+             e1 expect fetch 1
+             e1 send 1 OK 1 a|b|c
+             c1 expect row a|b|c",
+        );
+    }
+}
