--- a/dispatcher/src/door.rs
+++ b/dispatcher/src/door.rs
@@ -9,7 +9,7 @@
 use sedgebeam_operation::call::{Call, MOST_LINE};
 use sedgebeam_operation::{Drain, Figures};
 use sedgebeam_port::clock::Clock;
-use sedgebeam_sockets::Stream;
+use sedgebeam_sockets::{Stream, listen};
 use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener as Bound};
@@ -43,9 +43,8 @@
 }
 
 /// Opens the door, on a thread of its own.
-pub fn open(address: SocketAddr, desk: Desk) -> io::Result<SocketAddr> {
-    let listener = Bound::bind(address)?;
-    listener.set_nonblocking(true)?;
+pub async fn open(address: SocketAddr, desk: Desk) -> io::Result<SocketAddr> {
+    let listener = listen(address).await?.into_std()?;
     let address = listener.local_addr()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/dispatcher/src/serve/listeners.rs
+++ b/dispatcher/src/serve/listeners.rs
@@ -8,6 +8,7 @@
 use sedgebeam_fronts::places::Places;
 use sedgebeam_fronts::{Shared, flight, pg};
 use sedgebeam_port::supervise;
+use sedgebeam_sockets::listen;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,7 +25,7 @@
 /// A listener there. Beside another process of this dispatcher, that one's is waited for.
 async fn bind(address: SocketAddr, wait_for_other: bool) -> io::Result<TcpListener> {
     loop {
-        match TcpListener::bind(address).await {
+        match listen(address).await {
             Err(error) if wait_for_other && error.kind() == io::ErrorKind::AddrInUse => {
                 sleep(BIND_RETRY).await;
             }
@@ -98,7 +99,7 @@
         let config = &self.config;
         let listener = match config.passed {
             Some(descriptor) => TcpListener::from_std(passed::listener(descriptor)?)?,
-            None => TcpListener::bind(config.listen).await?,
+            None => listen(config.listen).await?,
         };
         let address = listener.local_addr()?;
         let began = self.clock.micros(Instant::now());
--- a/dispatcher/src/serve/startup.rs
+++ b/dispatcher/src/serve/startup.rs
@@ -40,7 +40,7 @@
             figures.class(class);
         }
         let farewells = Arc::new(Semaphore::new(config.descriptors.farewells));
-        open_door(&config, &duty, &figures, clock, &farewells)?;
+        open_door(&config, &duty, &figures, clock, &farewells).await?;
         supervise::vital("the drain", duty.clone().keep_time());
         let wires = Wires {
             connections,
@@ -150,7 +150,7 @@
     }
 }
 
-fn open_door(
+async fn open_door(
     config: &Config,
     duty: &Duty,
     figures: &Figures,
@@ -167,7 +167,7 @@
         callers: config.descriptors.callers,
         farewells: farewells.clone(),
     };
-    let address = door::open(address, desk)?;
+    let address = door::open(address, desk).await?;
     log::info!("{} takes calls of operators on {address}", config.name);
     Ok(())
 }
--- a/sockets/src/errors.rs
+++ b/sockets/src/errors.rs
@@ -17,3 +17,12 @@
 pub fn is_local(error: &io::Error) -> bool {
     Errno::from_io_error(error).is_some_and(|errno| LACKS.contains(&errno))
 }
+
+/// Whether a listener that can't be had now may be had later.
+pub fn may_pass(error: &io::Error) -> bool {
+    is_local(error)
+        || matches!(
+            error.kind(),
+            io::ErrorKind::AddrInUse | io::ErrorKind::Interrupted
+        )
+}
