--- a/fronts/src/pg/tests.rs
+++ b/fronts/src/pg/tests.rs
@@ -203,3 +203,55 @@
         assert!(left <= Duration::from_millis(500), "{left:?} are left");
     });
 }
+
+#[test]
+fn a_command_sent_after_a_useless_one_has_waited_since_it_came() {
+    inside(async {
+        let (desk, mut broker) = desk(1000).await;
+        let (mut client, _order) =
+            session(&desk, Drain::new(false), &startup_and("SELECT 1")).await;
+        error(&mut client).await;
+        tokio::time::pause();
+        let sent = Instant::now();
+        client
+            .write_all(&query(&limited(2, 1_500)))
+            .await
+            .expect("writes");
+        run_all().await;
+        // The pause before more is listened to; by then the command has been there for all of it.
+        tokio::time::advance(2 * FIRST_PAUSE).await;
+        run_all().await;
+        let (request, _reply) = submitted(&mut broker).await;
+        let waits = request.deadline - sent;
+        assert!(
+            waits <= Duration::from_millis(1_500),
+            "{waits:?} from its last byte"
+        );
+    });
+}
+
+/// The codes of all errors that the client is told, to the end of its connection.
+async fn codes(mut client: TcpStream) -> Vec<String> {
+    let mut heard = Vec::new();
+    client.read_to_end(&mut heard).await.expect("no reset");
+    let text = String::from_utf8_lossy(&heard).into_owned();
+    let codes = text.split("VERROR\0C").skip(1);
+    codes.map(|code| code[..5].to_string()).collect()
+}
+
+#[test]
+fn what_was_sent_ahead_is_answered_though_the_session_ends_in_a_drain() {
+    inside(async {
+        let (desk, mut broker) = desk(1000).await;
+        let mut said = startup_and(&limited(1, 60_000));
+        (2..=4).for_each(|name| said.extend(query(&limited(name, 60_000))));
+        let (client, order) = session(&desk, Drain::new(false), &said).await;
+        let (_, reply) = submitted(&mut broker).await;
+        let mut ending = Drain::new(false);
+        ending.end(Duration::ZERO);
+        order.send_replace(ending.orders(Duration::from_secs(1)));
+        assert!(reply.send(NO_ADVICE).is_ok(), "is waited for");
+        assert_eq!(codes(client).await, ["53300", "57P03", "57P03", "57P03"]);
+        assert!(broker.try_recv().is_err(), "nothing of them is sent on");
+    });
+}
