Note when each command was read, listen during pauses and writes, and answer all that was sent ahead

Cause: the time of a command counted from when it was begun; nothing was read during the pause after a useless command, while a result was written or while a request waited to be handed over; what was held when a session ended was dropped. Now one inbox keeps what comes, with its moment; whatever a session waits for, it listens meanwhile; what it does not come to any more is refused one by one (53300, 57P03 in a drain) before the close, 1,024 at the most. An ordered request that waits for its shard is dropped with its client. Also: Flight SQL clients' streams are read as all others, and an option that can't be set drops none of them.

--- a/fronts/src/incoming.rs
+++ b/fronts/src/incoming.rs
@@ -2,6 +2,7 @@
 //! One that says nothing, or stops in its preface, is closed: it would keep its place from others for good.
 
 use futures::stream::{Stream, StreamExt};
+use sedgebeam_sockets::{Stream as Whole, without_delay};
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -21,7 +22,7 @@
 const PREFACE_LIMIT: Duration = Duration::from_secs(2);
 
 pub struct Placed {
-    stream: TcpStream,
+    stream: Whole,
     /// Bytes of the preface that are still to come, and when they must have.
     missing: usize,
     limit: Pin<Box<Sleep>>,
@@ -29,14 +30,14 @@
 }
 
 impl Placed {
-    fn new(stream: TcpStream, place: OwnedSemaphorePermit) -> io::Result<Placed> {
-        stream.set_nodelay(true)?;
-        Ok(Placed {
-            stream,
+    fn new(stream: TcpStream, place: OwnedSemaphorePermit) -> Placed {
+        without_delay(&stream);
+        Placed {
+            stream: Whole::new(stream),
             missing: PREFACE,
             limit: Box::pin(sleep(PREFACE_LIMIT)),
             _place: place,
-        })
+        }
     }
 }
 
@@ -63,7 +64,7 @@
 
 /// Connections that this worker has accepted itself.
 pub fn placed(accepted: impl Stream<Item = Accepted>) -> impl Stream<Item = io::Result<Placed>> {
-    accepted.map(|(stream, place)| Placed::new(stream, place))
+    accepted.map(|(stream, place)| Ok(Placed::new(stream, place)))
 }
 
 /// A connection on its way from the worker that accepted it to the one that serves it.
@@ -83,7 +84,7 @@
 pub fn taken_over(incoming: mpsc::Receiver<HandedOver>) -> impl Stream<Item = io::Result<Placed>> {
     futures::stream::unfold(incoming, |mut incoming| async move {
         let HandedOver { stream, place } = incoming.recv().await?;
-        let placed = TcpStream::from_std(stream).and_then(|stream| Placed::new(stream, place));
+        let placed = TcpStream::from_std(stream).map(|stream| Placed::new(stream, place));
         Some((placed, incoming))
     })
 }
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's front: sessions of the PostgreSQL protocol, one actor each.
 
 mod codec;
+mod inbox;
 #[cfg(test)]
 mod tests;
 
@@ -10,12 +11,15 @@
 use super::{Shared, reason, statement};
 use bytes::Bytes;
 use codec::{Error, Pg, Said, Say};
-use futures::{FutureExt, SinkExt, StreamExt};
-use sedgebeam_port::{Answer, Broken, Delivery, Desk, Failure, Pending, SessionKey};
+use futures::{FutureExt, Sink, SinkExt, Stream as Messages, StreamExt};
+use inbox::{Heard, Inbox};
+use sedgebeam_port::{Answer, Broken, Delivery, Desk, Failure, SessionKey};
 use sedgebeam_sockets::Stream;
-use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -33,9 +37,8 @@
 /// A client that takes nothing of a short answer for so long has gone: its request is answered, but nobody else would
 /// have its place.
 const TAKES: Duration = Duration::from_secs(5);
-/// Messages that a client may have sent ahead of the answer to an earlier one, and in all no more bytes than one message
-/// may have: it is watched while it waits, and more can't be held.
-const MOST_HELD: usize = 64;
+/// Commands that are refused one by one when a session ends before it has come to them.
+const MOST_REFUSED: usize = 1024;
 /// A connection that is closed has so long to take its last word and go, and may say so much meanwhile.
 const FAREWELL: Duration = Duration::from_millis(500);
 const MOST_FAREWELL: u64 = 64 * 1024;
@@ -77,8 +80,8 @@
         leave,
         place,
         useless: 0,
-        longest: serving.longest,
-        held: VecDeque::new(),
+        inbox: Inbox::new(serving.longest),
+        gone: false,
     };
     let ended = tokio::select! {
         biased;
@@ -91,13 +94,15 @@
             let Some(_farewell) = serving.farewell() else {
                 return;
             };
-            session.give_way().await;
+            session.refuse_rest().await;
+            farewell(session.wire).await;
         }
         Some(ended) => {
             if let Err(error) = ended {
                 log::debug!("session {}: {error}", key.0);
                 session.complain(&error).await;
             }
+            session.refuse_rest().await;
             // It is the first to give way to a newcomer now.
             session.place.stand(Standing::Stranger);
             let mut closed = std::pin::pin!(farewell(session.wire));
@@ -198,9 +203,10 @@
     place: Place,
     /// Messages of no use in a row.
     useless: u32,
-    longest: usize,
-    /// What the client said while its last query was under way.
-    held: VecDeque<Said>,
+    /// What the client said while the session was busy.
+    inbox: Inbox,
+    /// The client has closed its side.
+    gone: bool,
 }
 
 impl Session {
@@ -210,10 +216,10 @@
         if !started.map_err(late)?.map_err(io::Error::other)? {
             return Ok(());
         }
-        while let Some(said) = self.listen().await? {
+        while let Some(Heard { said, came }) = self.listen().await? {
             match said {
                 Said::Query(text) => {
-                    if !self.query(text).await? {
+                    if !self.query(text, came).await? {
                         break;
                     }
                 }
@@ -249,14 +255,85 @@
     }
 
     /// What the client says next; `None` when it has gone, or must go.
-    async fn listen(&mut self) -> io::Result<Option<Said>> {
-        if let Some(said) = self.held.pop_front() {
-            return Ok(Some(said));
+    async fn listen(&mut self) -> io::Result<Option<Heard>> {
+        if let Some(heard) = self.inbox.next() {
+            return Ok(Some(heard));
         }
-        tokio::select! {
+        let said = tokio::select! {
             biased;
-            said = next(&mut self.wire) => said,
-            () = self.leave.when_idle() => Ok(None),
+            said = next(&mut self.wire) => said?,
+            () = self.leave.when_idle() => return Ok(None),
+        };
+        self.gone = said.is_none();
+        Ok(said.map(Heard::now))
+    }
+
+    /// Reads what the client says into the inbox; ready once nothing more can come of it: `true` where it has gone.
+    fn poll_inbox(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        loop {
+            match Pin::new(&mut self.wire).poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Ok(Said::Terminate)) | None) => {
+                    self.gone = true;
+                    return Poll::Ready(Ok(true));
+                }
+                Poll::Ready(Some(said)) => self.inbox.keep(said?)?,
+            }
+        }
+    }
+
+    /// Waits for something else while the client is listened to; `None` when it has gone.
+    async fn watch<T>(&mut self, awaited: impl Future<Output = T>) -> io::Result<Option<T>> {
+        let mut awaited = pin!(awaited);
+        poll_fn(|context| {
+            if let Poll::Ready(done) = awaited.as_mut().poll(context) {
+                return Poll::Ready(Ok(Some(done)));
+            }
+            self.poll_inbox(context).map_ok(|_gone| None)
+        })
+        .await
+    }
+
+    /// Writes out what is to be said while the client is listened to; an error when it has gone.
+    async fn flush(&mut self) -> io::Result<()> {
+        poll_fn(|context| {
+            let flushed = Pin::new(&mut self.wire).poll_flush(context);
+            if flushed.is_ready() {
+                return flushed;
+            }
+            self.poll_inbox(context)
+                .map(|gone| gone.and(Err(io::ErrorKind::UnexpectedEof.into())))
+        })
+        .await
+    }
+
+    /// Refuses the commands that the client has sent and that the session does not come to any more: nothing of them ran.
+    async fn refuse_rest(&mut self) {
+        for _ in 0..MOST_REFUSED {
+            let said = match self.inbox.next() {
+                Some(heard) => Some(heard.said),
+                None if self.gone => None,
+                None => self
+                    .wire
+                    .next()
+                    .now_or_never()
+                    .flatten()
+                    .and_then(Result::ok),
+            };
+            match said {
+                Some(Said::Query(text)) if !is_empty(&text) => {
+                    let told = if self.leave.after_answer() {
+                        draining(&self.shared.desk)
+                    } else {
+                        no_place(&self.shared.desk)
+                    };
+                    if self.say(Say::Error(told)).await.is_err() {
+                        return;
+                    }
+                }
+                Some(_) => {}
+                None => return,
+            }
         }
     }
 
@@ -274,23 +351,6 @@
         let _ = self.say(Say::Error(told)).await;
     }
 
-    /// Ends a session that has given its place up. A query that has just come is refused: nothing of it ran.
-    async fn give_way(mut self) {
-        for _ in 0..MOST_HELD {
-            match self.wire.next().now_or_never().flatten() {
-                Some(Ok(Said::Query(text))) if !is_empty(&text) => {
-                    // As above.
-                    let told = no_place(&self.shared.desk);
-                    let _ = self.say(Say::Error(told)).await;
-                    break;
-                }
-                Some(Ok(_)) => {}
-                _ => break,
-            }
-        }
-        farewell(self.wire).await;
-    }
-
     /// Says something short, and waits until the client has taken it.
     async fn say(&mut self, say: Say) -> io::Result<()> {
         timeout(TAKES, self.wire.send(say)).await.map_err(late)?
@@ -309,8 +369,8 @@
         if self.useless >= MOST_USELESS {
             return Ok(false);
         }
-        sleep(FIRST_PAUSE * (1 << self.useless)).await;
-        Ok(true)
+        let pause = sleep(FIRST_PAUSE * (1 << self.useless));
+        Ok(self.watch(pause).await?.is_some())
     }
 
     /// Answers a message of the extended protocol: one error, and nothing more up to its Sync.
@@ -323,7 +383,7 @@
         };
         self.say(Say::Error(told)).await?;
         loop {
-            match self.listen().await? {
+            match self.listen().await?.map(|heard| heard.said) {
                 Some(Said::Sync) => break,
                 Some(Said::Terminate) | None => return Ok(false),
                 Some(_) => {}
@@ -333,9 +393,8 @@
         Ok(true)
     }
 
-    /// Answers a query; false when the client has gone meanwhile, or must go.
-    async fn query(&mut self, text: Bytes) -> io::Result<bool> {
-        let came = Instant::now();
+    /// Answers a query that came at this moment; false when the client has gone meanwhile, or must go.
+    async fn query(&mut self, text: Bytes, came: Instant) -> io::Result<bool> {
         if is_empty(&text) {
             // The platform's front asks in this way whether the dispatcher takes work.
             let told = if self.leave.ready() {
@@ -357,8 +416,10 @@
                     self.say(Say::Error(told)).await?;
                     return Ok(false);
                 }
-                let pending = self.shared.desk.submit(request).await;
-                match self.wait(pending).await? {
+                let desk = self.shared.desk.clone();
+                // The client may go also while its request waits to be handed over.
+                let answer = async move { desk.submit(request).await.await };
+                match self.watch(answer).await? {
                     Some(answer) => answer,
                     None => return Ok(false),
                 }
@@ -384,28 +445,6 @@
         Ok(self.place.stand(Standing::Idle) && !self.leave.after_answer())
     }
 
-    /// Waits for the answer and watches the client meanwhile, whatever it has sent ahead; `None` when it has gone.
-    async fn wait(&mut self, mut pending: Pending) -> io::Result<Option<Answer>> {
-        let mut ahead = 0;
-        loop {
-            tokio::select! {
-                biased;
-                answer = &mut pending => return Ok(Some(answer)),
-                said = self.wire.next() => match said.transpose()? {
-                    None | Some(Said::Terminate) => return Ok(None),
-                    Some(said) => {
-                        ahead += if let Said::Query(text) = &said { text.len() } else { 0 };
-                        self.held.push_back(said);
-                        if ahead > self.longest || self.held.len() > MOST_HELD {
-                            let why = "too much was sent ahead of an answer";
-                            return Err(io::Error::new(io::ErrorKind::InvalidData, why));
-                        }
-                    }
-                }
-            }
-        }
-    }
-
     /// Passes a result on, page by page as the client takes them.
     async fn pass(&mut self, mut delivery: Delivery) -> io::Result<()> {
         let mut rows = 0;
@@ -417,7 +456,7 @@
                     rows += page.rows.iter().filter(|byte| **byte == b'\n').count() as u64;
                     self.wire.feed(Say::Rows(page)).await?;
                     // A client that takes nothing until its deadline has gone.
-                    let taken = timeout_at(deadline, self.wire.flush()).await;
+                    let taken = timeout_at(deadline, self.flush()).await;
                     taken.map_err(io::Error::other)??;
                 }
                 Ok(None) => return self.wire.feed(Say::Complete(rows)).await,
--- a/fronts/src/pg/tests.rs
+++ b/fronts/src/pg/tests.rs
@@ -255,3 +255,42 @@
         assert!(broker.try_recv().is_err(), "nothing of them is sent on");
     });
 }
+
+#[test]
+fn each_of_too_many_commands_sent_ahead_is_answered() {
+    inside(async {
+        let (desk, mut broker) = desk(1000).await;
+        let mut said = startup_and(&limited(1, 60_000));
+        (2..=80).for_each(|name| said.extend(query(&limited(name, 60_000))));
+        let mut serving = Drain::new(false);
+        serving.prepared();
+        let (client, _order) = session(&desk, serving, &said).await;
+        let (_, _reply) = submitted(&mut broker).await;
+        let codes = codes(client).await;
+        assert_eq!(codes[0], "08P01");
+        assert_eq!(codes.len(), 80, "{codes:?}");
+        assert!(codes[1..].iter().all(|code| code == "53300"), "{codes:?}");
+    });
+}
+
+/// It goes while nothing is listened to after a useless command, and leaves a good one behind.
+#[test]
+fn nothing_is_begun_for_a_client_that_has_gone_during_a_pause() {
+    inside(async {
+        let (desk, mut broker) = desk(1000).await;
+        let mut said = startup_and("SELECT 1");
+        said.extend(query(&limited(2, 60_000)));
+        let (mut client, _order) = session(&desk, Drain::new(false), &said).await;
+        error(&mut client).await;
+        tokio::time::pause();
+        drop(client);
+        run_all().await;
+        tokio::time::advance(2 * FIRST_PAUSE).await;
+        run_all().await;
+        assert!(
+            !std::iter::from_fn(|| broker.try_recv().ok())
+                .any(|told| matches!(told, sedgebeam_port::ToBroker::Submit(..))),
+            "its command is begun"
+        );
+    });
+}
