--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -708,3 +708,53 @@
         assert!(!runs(&bench));
     });
 }
+
+/// The start of an engine by its own clock is so far from now, and it is told of in this way: how long ago it started, as the
+/// gateway hears it.
+fn told_age(listing: Listing, from_now_ms: f64) -> Micros {
+    let setup = setup();
+    let clock = setup.clock;
+    let (mut broker, _, _) = new(setup);
+    let now = clock.micros(Instant::now()).0 as f64 / 1000.0;
+    let target = Target {
+        uid: "s-00000001".to_string(),
+        state: "up".to_string(),
+        boot_ms: Some(now + from_now_ms),
+        ..Target::default()
+    };
+    broker.list(listing, vec![target]);
+    let started_at = broker.events.iter().find_map(|event| match event {
+        Event::List { engines, .. } => Some(engines[0].started_at),
+        _ => None,
+    });
+    let started_at = started_at.expect("a list");
+    let now = clock.micros(Instant::now());
+    assert!(started_at <= now, "it starts in {:?}", started_at - now);
+    now - started_at
+}
+
+const HOUR_MS: f64 = 3_600_000.0;
+
+/// Clocks of machines are apart, and are stepped: the age of an engine is bounded by what this process knows itself.
+#[test]
+fn an_engine_whose_clock_is_ahead_has_started_when_it_is_told_of() {
+    inside(|| {
+        for listing in [Listing::Saved, Listing::Complete, Listing::Changes] {
+            let age = told_age(listing, HOUR_MS);
+            assert!(age < Micros::from_millis(1_000), "{listing:?}: {age:?}");
+        }
+    });
+}
+
+#[test]
+fn an_engine_that_a_change_tells_of_is_no_older_than_a_change_may_be_late() {
+    inside(|| {
+        let age = told_age(Listing::Changes, -HOUR_MS);
+        assert!(age <= Micros::from_millis(8_000), "{age:?}");
+        let age = told_age(Listing::Changes, -3_000.0);
+        assert!(age >= Micros::from_millis(3_000), "{age:?}");
+        // The first list may tell of one that has long been there.
+        let age = told_age(Listing::Saved, -HOUR_MS);
+        assert!(age >= Micros::from_millis(3_600_000), "{age:?}");
+    });
+}
--- a/engines/src/resp/outgoing.rs
+++ b/engines/src/resp/outgoing.rs
@@ -110,3 +110,6 @@
         begins.map(|attempt| attempt.request)
     }
 }
+
+#[cfg(test)]
+mod tests;
