Tell engines the time that is left at the first byte, and bound their age by this process's clock

Cause of the first: the broker fixed the length of an attempt when it decided, and it was encoded when its connection was handed it; waits in mailboxes and behind what the engine does not read were not counted. An attempt now has the moment at which it is given up, and is encoded anew each time that it is offered to the socket until a byte of it is taken; Flight SQL calls name what is left too. Cause of the second: an engine's age was the difference of its clock and this machine's. The broker now fixes a start once, when it is told of: not later than now, and by a change not longer ago than the 7 s by which a change may be late. An engine of the first list whose clock is behind by more than the time to be warm still counts as warm: nothing that this process knows bounds its age.

--- a/broker/src/engines.rs
+++ b/broker/src/engines.rs
@@ -5,7 +5,7 @@
 
 use super::{Broker, EngineBox, post};
 use sedgebeam_core::{
-    AttemptNo, CellId, Engine, EngineId, EngineState, Event, Key, ListKind, Load, Outcome,
+    AttemptNo, CellId, Engine, EngineId, EngineState, Event, Key, ListKind, Load, Micros, Outcome,
     RequestId,
 };
 use sedgebeam_port::{Listing, Probe, Reports, Resting, Target, ToEngine};
@@ -13,11 +13,18 @@
 use std::collections::HashSet;
 use tokio::time::Instant;
 
+/// What the change log has to tell counts as told after this time at the latest.
+const CHANGE_LATE_BY: Micros = Micros::from_millis(7_000);
+
 /// An engine as the broker knows it.
 #[derive(Default)]
 pub(super) struct Known {
     pub target: Target,
     pub ready: bool,
+    /// Its start as the list tells it, by a clock of its own.
+    pub told_start: Option<f64>,
+    /// When it started, by this process's clock; zero: long ago.
+    pub started_at: Micros,
     /// None while nothing is asked of the engine.
     pub actor: Option<Actor>,
 }
@@ -46,6 +53,26 @@
         Some(actor.mailbox.clone())
     }
 
+    /// The list tells of its start. The clocks of two machines may be apart, and may have been stepped: it can't start later
+    /// than now, and one that a change tells of did not start longer ago than a change may be late. What the first list
+    /// tells of may be of any age. A start that is told again is the same one.
+    fn start_told(&mut self, told: Option<f64>, listing: Listing, now: Micros) {
+        if self.told_start == told {
+            return;
+        }
+        let started_at = micros(told.unwrap_or_default());
+        let earliest = match listing {
+            Listing::Changes => now - CHANGE_LATE_BY,
+            Listing::Saved | Listing::Complete => Micros(0),
+        };
+        self.told_start = told;
+        self.started_at = if started_at == Micros(0) {
+            started_at
+        } else {
+            started_at.max(earliest).min(now)
+        };
+    }
+
     /// Has what is not written yet come back.
     fn nothing_new(&self) {
         if let Some(actor) = &self.actor {
@@ -93,7 +120,7 @@
                         part.forget(&target.uid);
                     }
                 }
-                state => self.know(id, target, state == EngineState::Ready),
+                state => self.know(id, target, state == EngineState::Ready, listing),
             }
             engines.push(self.entry(id, target, state));
         }
@@ -122,7 +149,10 @@
                 .and_then(|kind| self.names.kind(kind)),
             cell: CellId(target.pod_group.unwrap_or_default()),
             state,
-            started_at: micros(target.boot_ms.unwrap_or_default()),
+            started_at: self
+                .engines
+                .get(&id)
+                .map_or(Micros(0), |known| known.started_at),
         }
     }
 
@@ -149,7 +179,7 @@
         EngineId(number)
     }
 
-    fn know(&mut self, id: EngineId, target: &Target, ready: bool) {
+    fn know(&mut self, id: EngineId, target: &Target, ready: bool, listing: Listing) {
         let before = self.engines.get(&id).map(|known| &known.target.state);
         if before != Some(&target.state) {
             log::info!(
@@ -169,7 +199,9 @@
         if self.numbers.insert(target.uid.clone(), id).is_none() {
             self.world.listed(target);
         }
+        let now = self.clock.micros(Instant::now());
         let known = self.engines.entry(id).or_default();
+        known.start_told(target.boot_ms, listing, now);
         known.target = target.clone();
         known.ready = ready;
         if !ready {
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -577,7 +577,7 @@
             request: id,
             number,
             class: self.class_names[open.class.0].clone(),
-            timeout,
+            until: now + timeout,
             rank: open.rank,
             // Settings that came since the terms may heed none.
             memory_grant_mb: open.memory_grant_mb.filter(|_| self.settings.takes_grants),
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -59,6 +59,7 @@
         target: <Target as Default>::default(),
         ready: true,
         actor: Some(engines::Actor { mailbox, told: 0 }),
+        ..Known::default()
     };
     broker.engines.insert(ENGINE, known);
     let (reply, answer) = oneshot::channel();
@@ -329,7 +330,7 @@
         let Ok(ToEngine::Send(attempt)) = bench.sent.try_recv() else {
             panic!("no send")
         };
-        assert!(attempt.timeout <= Duration::from_secs(9));
+        assert!(attempt.until - Instant::now() <= Duration::from_secs(9));
         assert_eq!(attempt.rank, 1);
     });
 }
--- a/dispatcher/tests/scenarios/actors.rs
+++ b/dispatcher/tests/scenarios/actors.rs
@@ -97,7 +97,7 @@
             request: RequestId(id),
             number: AttemptNo(number),
             class: "lookup".into(),
-            timeout: Duration::from_secs(9),
+            until: Instant::now() + Duration::from_secs(9),
             rank: 1,
             memory_grant_mb: None,
             statement,
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -432,7 +432,7 @@
             ("txn", format!("{:016x}", self.attempt.request.0)),
             ("kind", self.attempt.class.to_string()),
             ("rank", self.attempt.rank.to_string()),
-            ("ms", self.attempt.timeout.as_millis().max(1).to_string()),
+            ("ms", self.attempt.millis_left().to_string()),
         ];
         let grant = self.attempt.memory_grant_mb;
         let grant = grant.map(|memory_mb| ("grant", memory_mb.to_string()));
--- a/engines/src/flight/tests.rs
+++ b/engines/src/flight/tests.rs
@@ -11,7 +11,7 @@
         request: RequestId(255),
         number: AttemptNo(0),
         class: "report".into(),
-        timeout: Duration::from_millis(1500),
+        until: Instant::now() + Duration::from_millis(1500),
         rank: 2,
         memory_grant_mb: sedgebeam_port::memory_grant(memory_mb),
         statement: "SELECT 1".into(),
@@ -29,8 +29,9 @@
     task.request(()).metadata().clone()
 }
 
-#[test]
-fn a_call_names_its_grant_beside_its_rank_only_where_there_is_one() {
+// The clock stands still: what is left is what was given.
+#[tokio::test(start_paused = true)]
+async fn a_call_names_its_grant_beside_its_rank_only_where_there_is_one() {
     let cases = [(96.0, Some("96")), (0.0, None), (f64::NAN, None)];
     for (memory_mb, grant) in cases {
         let metadata = metadata(memory_mb);
--- a/engines/src/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -101,7 +101,7 @@
         let tag = |tag: u64| format!("{TAG}{tag}");
         match command {
             Command::Fetch(attempt) => {
-                let wait = attempt.timeout.as_millis().max(1);
+                let wait = attempt.millis_left();
                 let mut fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
                 if let Some(memory_mb) = attempt.memory_grant_mb {
                     fields.push_str(&format!(",grant={memory_mb}"));
--- a/engines/src/resp/codec/tests.rs
+++ b/engines/src/resp/codec/tests.rs
@@ -1,6 +1,8 @@
 //! The bytes of commands and answers.
 
 use super::*;
+use std::time::Duration;
+use tokio::time::Instant;
 
 const ID: &str = "00000000000000ff";
 
@@ -145,19 +147,20 @@
         request: RequestId(255),
         number: sedgebeam_core::AttemptNo(0),
         class: "report".into(),
-        timeout: std::time::Duration::from_millis(1500),
+        until: Instant::now() + Duration::from_millis(1500),
         rank: 2,
         memory_grant_mb: sedgebeam_port::memory_grant(memory_mb),
         statement: Bytes::from_static(b"SELECT 1"),
         token: Some("5c0f".into()),
         order_key: None,
         cancelled: tokio_util::sync::CancellationToken::new(),
-        starts_by: tokio::time::Instant::now(),
+        starts_by: Instant::now(),
     }
 }
 
-#[test]
-fn a_fetch_names_its_grant_only_where_there_is_one() {
+// The clock stands still: what is left is what was given.
+#[tokio::test(start_paused = true)]
+async fn a_fetch_names_its_grant_only_where_there_is_one() {
     let cases = [
         (96.0, "kind=report,ms=1500,rank=2,grant=96,token=5c0f"),
         (0.0, "kind=report,ms=1500,rank=2,token=5c0f"),
--- a/engines/src/resp/mod.rs
+++ b/engines/src/resp/mod.rs
@@ -289,11 +289,10 @@
         let Some(out) = self.out.get_mut(&id) else {
             return;
         };
-        let (connection, number, waited) = (out.connection, out.number, out.sent.elapsed());
-        let Some(mut attempt) = out.waiting.take() else {
+        let (connection, number) = (out.connection, out.number);
+        let Some(attempt) = out.waiting.take() else {
             return;
         };
-        attempt.timeout = attempt.timeout.saturating_sub(waited);
         if !self.command(connection, Command::Fetch(attempt)) {
             self.out.remove(&id);
             self.ended_on(connection);
--- a/engines/src/resp/outgoing.rs
+++ b/engines/src/resp/outgoing.rs
@@ -19,6 +19,7 @@
 pub type Named = (RequestId, AttemptNo);
 
 struct Frame {
+    /// What is left to be written; of an attempt that has not begun, as it was last offered to the socket.
     bytes: Bytes,
     /// The attempt that it begins, while none of it is written.
     begins: Option<Attempt>,
@@ -54,10 +55,8 @@
             Command::Abort(id) => Some(*id),
             _ => None,
         };
-        let mut bytes = BytesMut::new();
-        Resp.encode(command, &mut bytes)?;
+        let bytes = encoded(command)?;
         if !bytes.is_empty() {
-            let bytes = bytes.freeze();
             self.frames.push_back(Frame {
                 bytes,
                 begins,
@@ -80,10 +79,15 @@
         withdrawn
     }
 
-    /// What is to be written next, in pieces.
-    pub fn slices(&self) -> Vec<IoSlice<'_>> {
+    /// What is to be written next, in pieces. An attempt of which nothing is written yet names the time that is left now.
+    pub fn slices(&mut self) -> io::Result<Vec<IoSlice<'_>>> {
+        for frame in self.frames.iter_mut().take(MOST_AT_ONCE) {
+            if let Some(attempt) = &frame.begins {
+                frame.bytes = encoded(Command::Fetch(attempt.clone()))?;
+            }
+        }
         let frames = self.frames.iter().take(MOST_AT_ONCE);
-        frames.map(|frame| IoSlice::new(&frame.bytes)).collect()
+        Ok(frames.map(|frame| IoSlice::new(&frame.bytes)).collect())
     }
 
     /// So many bytes have been written.
@@ -111,5 +115,11 @@
     }
 }
 
+fn encoded(command: Command) -> io::Result<Bytes> {
+    let mut bytes = BytesMut::new();
+    Resp.encode(command, &mut bytes)?;
+    Ok(bytes.freeze())
+}
+
 #[cfg(test)]
 mod tests;
--- a/engines/src/resp/outgoing/tests.rs
+++ b/engines/src/resp/outgoing/tests.rs
@@ -10,7 +10,7 @@
         request: RequestId(7),
         number: AttemptNo(0),
         class: "lookup".into(),
-        timeout: time,
+        until: Instant::now() + time,
         rank: 1,
         memory_grant_mb: None,
         statement: Bytes::from_static(b"SELECT 1"),
@@ -23,7 +23,7 @@
 
 /// All that is to be written, as text.
 fn text(outgoing: &mut Outgoing) -> String {
-    let slices = outgoing.slices();
+    let slices = outgoing.slices().expect("is encoded");
     let bytes: Vec<u8> = slices.iter().flat_map(|slice| slice.to_vec()).collect();
     String::from_utf8_lossy(&bytes).into_owned()
 }
--- a/engines/src/resp/tests.rs
+++ b/engines/src/resp/tests.rs
@@ -230,7 +230,7 @@
             request,
             number,
             class: "lookup".into(),
-            timeout,
+            until: Instant::now() + timeout,
             rank: 1,
             memory_grant_mb: None,
             statement,
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -5,7 +5,6 @@
 use sedgebeam_core::{AttemptNo, EngineId, Load, Micros, Note, RequestId};
 use std::num::NonZeroU32;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -38,7 +37,8 @@
     pub request: RequestId,
     pub number: AttemptNo,
     pub class: Arc<str>,
-    pub timeout: Duration,
+    /// When it is given up.
+    pub until: Instant,
     pub rank: u8,
     /// The memory that it is granted; without it the engine chooses.
     pub memory_grant_mb: Option<NonZeroU32>,
@@ -62,6 +62,12 @@
             .filter_map(|(name, word)| Some((name, word.as_deref()?)))
     }
 
+    /// The time for which it will still be waited for, in whole milliseconds: what its engine is told at its first byte.
+    pub fn millis_left(&self) -> u128 {
+        let left = self.until.saturating_duration_since(Instant::now());
+        left.as_millis().max(1)
+    }
+
     /// Whether nothing of it may be written any more: asked where it is, at the moment of its first byte. It may
     /// have waited there for its connection, or behind what the engine does not read.
     pub fn is_void(&self) -> bool {
