--- a/dispatcher/src/serve/sessions.rs
+++ b/dispatcher/src/serve/sessions.rs
@@ -38,6 +38,7 @@
                 newcomers, over, ..
             } = *orders.borrow_and_update();
             if over {
+                log::info!("ending: accepting is over");
                 return;
             }
             let accepted = tokio::select! {
--- a/dispatcher/tests/scenarios/extremes.rs
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -1,6 +1,7 @@
 //! Clauses at their extremes: each request has its one answer whatever the system, the clocks and the ends of the process do.
 
 use crate::faults::{Call, Fault, Faults};
+use crate::pg_client::{query, startup, statement};
 use crate::stage::{Options, SETTINGS, Stage};
 
 /// Settings under which clients wait far longer than the platform does before it kills a process.
@@ -99,3 +100,27 @@
         );
     }
 }
+
+/// Too many files are open in the system.
+const ENFILE: i32 = 23;
+
+/// It can't be accepted until accepting is over; its request has been written long before.
+#[test]
+fn a_connection_in_the_queue_when_accepting_ends_is_told() {
+    let faults = Faults::none();
+    let options = Options {
+        faults: Some(&faults),
+        ..Options::default()
+    };
+    let mut stage = Stage::with(&["e1"], &options);
+    faults.always(Call::Accept, Fault::Error(ENFILE));
+    let mut said = startup();
+    said.extend(query(&statement("lookup 1")));
+    let said: String = said.iter().map(|byte| format!("{byte:02x}")).collect();
+    // An error, before anything else.
+    stage.play(&format!(
+        "t1 send {said}\napp close\napp wait accepting is over"
+    ));
+    faults.end(Call::Accept);
+    stage.play("t1 expect 45\nt1 expect closed\napp expect 0");
+}
