Tell connections that wait to be accepted when accepting ends

Cause: the listener was dropped with its queue, and what waits there is reset, though a request may have been written to it. Where no other process accepts from the same socket, all that waits is accepted and refused with 57P03; an accept that fails is tried again for half a second.

--- a/dispatcher/src/serve/listeners.rs
+++ b/dispatcher/src/serve/listeners.rs
@@ -119,7 +119,8 @@
             // Two processes of one dispatcher may have one seed, and a client's cancel may come to either.
             last_key: sedgebeam_core::mix(config.seed ^ sedgebeam_core::mix(began.0)),
         };
-        let accepting = sessions.accept(listener, self.duty.subscribe());
+        let newcomers_are_ours = config.passed.is_none();
+        let accepting = sessions.accept(listener, self.duty.subscribe(), newcomers_are_ours);
         Ok((supervise::vital("accepting", accepting), address))
     }
 }
--- a/dispatcher/src/serve/sessions.rs
+++ b/dispatcher/src/serve/sessions.rs
@@ -1,6 +1,7 @@
 //! Sessions of PostgreSQL clients: accepted here, and served on the workers.
 
 use crate::crew::Crew;
+use futures::FutureExt;
 use sedgebeam_fronts::leave::Staying;
 use sedgebeam_fronts::pg;
 use sedgebeam_fronts::places::Places;
@@ -16,6 +17,8 @@
 
 /// A pause after an accept that failed, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Accepts that may fail, with a pause each, before what waits at the end is given up: half a second.
+const MOST_FAILURES: usize = 25;
 /// Distance of the keys of sessions that follow on one another: an odd number, so that none comes twice soon.
 const KEY_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -32,13 +35,23 @@
 
 impl Sessions {
     /// Accepts connections as the drain allows, until the last call is over.
-    pub async fn accept(mut self, listener: TcpListener, mut orders: watch::Receiver<Orders>) {
+    ///
+    /// `newcomers_are_ours` where no other process accepts from the same socket.
+    pub async fn accept(
+        mut self,
+        listener: TcpListener,
+        mut orders: watch::Receiver<Orders>,
+        newcomers_are_ours: bool,
+    ) {
         loop {
             let Orders {
                 newcomers, over, ..
             } = *orders.borrow_and_update();
             if over {
                 log::info!("ending: accepting is over");
+                if newcomers_are_ours {
+                    self.turn_away_queued(&listener).await;
+                }
                 return;
             }
             let accepted = tokio::select! {
@@ -62,6 +75,24 @@
         }
     }
 
+    /// Refuses what waits to be accepted: dropping the listener would reset it, and a request may have been written to it.
+    async fn turn_away_queued(&self, listener: &TcpListener) {
+        let mut failures = 0;
+        while failures < MOST_FAILURES {
+            // What the system has told of by now.
+            yield_now().await;
+            match listener.accept().now_or_never() {
+                Some(Ok((stream, _))) => self.turn_away(stream, pg::Away::Draining),
+                Some(Err(error)) => {
+                    log::warn!("accepting: {error}");
+                    failures += 1;
+                    sleep(ACCEPT_PAUSE).await;
+                }
+                None => return,
+            }
+        }
+    }
+
     /// Refuses a connection with a word; where too many are being refused already, without one.
     fn turn_away(&self, stream: TcpStream, why: pg::Away) {
         let Some(farewell) = self.serving.farewell() else {
