Give no advice where the settings say that clients are given none

Cause: the longest advice was taken from max_retry_after also where retry_after is false. Where the key is absent advice goes on being given.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -266,9 +266,12 @@
         self.limits.as_ref()?.max_attempts
     }
 
-    /// The longest that clients stay away on advice, where a front gives them any.
+    /// The longest that clients stay away on advice, where a front gives them any: zero where they are to have none.
     pub fn longest_advice(&self) -> Micros {
         let limits = self.limits.as_ref();
+        if limits.and_then(|limits| limits.retry_after) == Some(false) {
+            return Micros(0);
+        }
         micros(limits.and_then(|l| l.max_retry_after).unwrap_or(1000.0))
     }
 
--- a/settings/src/tests.rs
+++ b/settings/src/tests.rs
@@ -36,3 +36,20 @@
         "cores are not told"
     );
 }
+
+#[test]
+fn clients_are_advised_unless_the_settings_say_that_they_are_not() {
+    let longest = |limits: &str| {
+        let facts = format!(r#"{{"services": [{{"name": "load"}}], "limits": {limits}}}"#);
+        let facts: Facts = miniserde::json::from_str(&facts).expect("settings");
+        facts.longest_advice()
+    };
+    let half = Micros::from_millis(500);
+    assert_eq!(
+        longest(r#"{"max_retry_after": 500, "retry_after": true}"#),
+        half
+    );
+    assert_eq!(longest(r#"{"max_retry_after": 500}"#), half);
+    let none = longest(r#"{"max_retry_after": 500, "retry_after": false}"#);
+    assert_eq!(none, Micros(0));
+}
