--- a/dispatcher/tests/scenarios/extremes.rs
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -124,3 +124,151 @@
     faults.end(Call::Accept);
     stage.play("t1 expect 45\nt1 expect closed\napp expect 0");
 }
+
+/// A call that a signal interrupted.
+const EINTR: i32 = 4;
+
+#[test]
+fn interrupted_calls_lose_no_request() {
+    let faults = Faults::none();
+    let options = Options {
+        faults: Some(&faults),
+        ..Options::default()
+    };
+    let mut stage = Stage::with(&["e1", "log"], &options);
+    stage.play("log expect asked 1");
+    for call in [Call::Accept, Call::Connect, Call::Recv, Call::Send] {
+        faults.each(2, call, Fault::Error(EINTR));
+    }
+    for id in 1..=8 {
+        stage.play(&format!(
+            "c{id} send lookup {id}
+             e1 expect fetch {id}
+             e1 send {id} OK 1 a|b|c
+             c{id} expect row a|b|c
+             c{id} expect complete 1"
+        ));
+    }
+    stage.play("log send 2 draining e1 @e1\napp wait : draining\nop send PING\nop expect 200");
+    for call in [Call::Accept, Call::Recv, Call::Send] {
+        assert!(faults.injected(call) > 0, "{call:?}");
+    }
+}
+
+#[test]
+fn accepts_that_fail_for_a_moment_lose_no_client() {
+    /// A connection was aborted before it was accepted.
+    const ECONNABORTED: i32 = 103;
+    for error in [ENFILE, ECONNABORTED, ENOBUFS] {
+        let faults = Faults::none();
+        let options = Options {
+            faults: Some(&faults),
+            ..Options::default()
+        };
+        let mut stage = Stage::with(&["e1"], &options);
+        faults.times(5, Call::Accept, Fault::Error(error));
+        stage.play(
+            "c1 send lookup 1
+             e1 expect fetch 1
+             e1 send 1 OK 1 a|b|c
+             c1 expect row a|b|c",
+        );
+        assert_eq!(faults.injected(Call::Accept), 5);
+    }
+}
+
+/// A lack on this side is waited for; what may be the engine's trouble may have the request refused, and never lost.
+#[test]
+fn connects_that_fail_for_a_moment_lose_no_request() {
+    const EADDRNOTAVAIL: i32 = 99;
+    const ENETUNREACH: i32 = 101;
+    for (call, error) in [
+        (Call::Connect, EADDRNOTAVAIL),
+        (Call::Connect, ENETUNREACH),
+        (Call::Socket, ENOBUFS),
+    ] {
+        let faults = Faults::none();
+        let options = Options {
+            faults: Some(&faults),
+            ..Options::default()
+        };
+        let mut stage = Stage::with(&["e1"], &options);
+        faults.times(2, call, Fault::Error(error));
+        stage.play("c1 send journal-load 1");
+        let (who, heard) = stage.hear_any(&["c1", "e1"]);
+        if who == "e1" {
+            assert!(heard.starts_with("fetch 1"), "{heard}");
+            stage.play("e1 send 1 OK 1 a|b|c\nc1 expect row a|b|c");
+        } else {
+            assert!(
+                error == ENETUNREACH && heard.starts_with("error 53300"),
+                "{heard}"
+            );
+        }
+        assert!(faults.injected(call) > 0, "{call:?} {error}");
+    }
+}
+
+#[test]
+fn a_connection_that_times_out_may_have_run_what_was_written() {
+    const ETIMEDOUT: i32 = 110;
+    const EHOSTUNREACH: i32 = 113;
+    for error in [ETIMEDOUT, EHOSTUNREACH] {
+        let faults = Faults::none();
+        let options = Options {
+            faults: Some(&faults),
+            ..Options::default()
+        };
+        let mut stage = Stage::with(&["e1", "e2"], &options);
+        stage.play("c1 send journal-load 1");
+        let (engine, heard) = stage.hear_any(&["e1", "e2"]);
+        assert!(heard.starts_with("fetch 1"), "{heard}");
+        faults.times(1, Call::Recv, Fault::Error(error));
+        // What is read next is the engine's word, and the read fails.
+        stage.play(&format!("{engine} send 1 NOTE\nc1 expect error 58000"));
+        assert_eq!(faults.injected(Call::Recv), 1);
+        for engine in ["e1", "e2"] {
+            let again = stage.left(engine);
+            let again = again.iter().filter(|heard| heard.starts_with("fetch"));
+            assert_eq!(again.count(), 0, "{engine}");
+        }
+    }
+}
+
+#[test]
+fn a_wall_clock_that_is_stepped_moves_no_deadline() {
+    const HOUR: i32 = 3600;
+    let faults = Faults::none();
+    let options = Options {
+        faults: Some(&faults),
+        ..Options::default()
+    };
+    let mut stage = Stage::with(&["e1"], &options);
+    let mut id = 0;
+    for step in [HOUR, -HOUR, 0, 5, -5] {
+        for (before, after) in [(true, false), (false, true)] {
+            id += 1;
+            if before {
+                faults.step_wall_clock(step);
+            }
+            stage.play(&format!(
+                "c{id} send journal-load {id} 50000\ne1 expect fetch {id}"
+            ));
+            if after {
+                faults.step_wall_clock(-step);
+            }
+            stage.play(&format!(
+                "e1 send {id} OK 1 a|b|c\nc{id} expect row a|b|c\nc{id} expect complete 1"
+            ));
+        }
+    }
+}
+
+#[test]
+fn a_request_with_hardly_any_time_left_is_answered() {
+    let mut stage = Stage::new(&["e1"]);
+    // Its engine may drop it without a word.
+    for (id, class) in [(1, "lookup"), (2, "report"), (3, "journal-load")] {
+        stage.play(&format!("c{id} send {class} {id} 1\nc{id} expect error 5"));
+    }
+}
