Make interrupted calls again, and tell each refused command that the next may come

Cause of the first: only 'would block' was repeated; an interrupted read or write ended its connection, an interrupted connect counted as the engine's failure. Cause of the second: commands that a session refuses at its end got an error each without the word that the server is ready, by which clients tell answers apart; a session that has not started gets the error alone, as before.

--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -7,7 +7,7 @@
 use sedgebeam_core::RequestId;
 use sedgebeam_fleet::reconnect::Connect;
 use sedgebeam_operation::Figures;
-use sedgebeam_sockets::{Reading, is_local, without_delay};
+use sedgebeam_sockets::{Reading, is_local, is_to_be_repeated, without_delay};
 use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
@@ -231,7 +231,7 @@
             if writable && outgoing.len() > 0 {
                 match half.try_write_vectored(&outgoing.slices()?) {
                     Ok(count) => written = outgoing.written(count),
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) if is_to_be_repeated(&error) => {}
                     Err(error) => return Err(error),
                 }
             }
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -82,6 +82,7 @@
         useless: 0,
         inbox: Inbox::new(serving.longest),
         gone: false,
+        started: false,
     };
     let ended = tokio::select! {
         biased;
@@ -207,6 +208,8 @@
     inbox: Inbox,
     /// The client has closed its side.
     gone: bool,
+    /// Its start is over: commands may come.
+    started: bool,
 }
 
 impl Session {
@@ -216,6 +219,7 @@
         if !started.map_err(late)?.map_err(io::Error::other)? {
             return Ok(());
         }
+        self.started = true;
         while let Some(Heard { said, came }) = self.listen().await? {
             match said {
                 Said::Query(text) => {
@@ -327,7 +331,7 @@
                     } else {
                         no_place(&self.shared.desk)
                     };
-                    if self.say(Say::Error(told)).await.is_err() {
+                    if self.tell_error(told).await.is_err() {
                         return;
                     }
                 }
@@ -348,7 +352,16 @@
             hint: None,
         };
         // A client that has gone hears nothing.
-        let _ = self.say(Say::Error(told)).await;
+        let _ = self.tell_error(told).await;
+    }
+
+    /// Answers a command with an error; one of a session that has started is told that the next may come.
+    async fn tell_error(&mut self, told: Error) -> io::Result<()> {
+        if self.started {
+            self.wire.feed(Say::Error(told)).await?;
+            return self.say(Say::Ready).await;
+        }
+        self.say(Say::Error(told)).await
     }
 
     /// Says something short, and waits until the client has taken it.
@@ -413,7 +426,7 @@
                 // One that must give way at this moment has sent nothing on.
                 if !self.place.stand(Standing::Busy) {
                     let told = no_place(&self.shared.desk);
-                    self.say(Say::Error(told)).await?;
+                    self.tell_error(told).await?;
                     return Ok(false);
                 }
                 let desk = self.shared.desk.clone();
--- a/sockets/src/errors.rs
+++ b/sockets/src/errors.rs
@@ -13,16 +13,13 @@
     Errno::ADDRNOTAVAIL,
 ];
 
-/// Whether a connect failed for a lack on this side: it says nothing of the peer.
+/// Whether a connect failed for a lack on this side, or was interrupted: it says nothing of the peer.
 pub fn is_local(error: &io::Error) -> bool {
-    Errno::from_io_error(error).is_some_and(|errno| LACKS.contains(&errno))
+    let lacks = Errno::from_io_error(error).is_some_and(|errno| LACKS.contains(&errno));
+    lacks || error.kind() == io::ErrorKind::Interrupted
 }
 
 /// Whether a listener that can't be had now may be had later.
 pub fn may_pass(error: &io::Error) -> bool {
-    is_local(error)
-        || matches!(
-            error.kind(),
-            io::ErrorKind::AddrInUse | io::ErrorKind::Interrupted
-        )
+    is_local(error) || error.kind() == io::ErrorKind::AddrInUse
 }
--- a/sockets/src/lib.rs
+++ b/sockets/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use errors::{is_local, may_pass};
 pub use listen::listen;
-pub use stream::{Reading, Stream, without_delay};
+pub use stream::{Reading, Stream, is_to_be_repeated, without_delay};
--- a/sockets/src/stream.rs
+++ b/sockets/src/stream.rs
@@ -18,6 +18,14 @@
     }
 }
 
+/// Whether a call has moved nothing and is made again, once the socket is ready.
+pub fn is_to_be_repeated(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+    )
+}
+
 /// The reading side of a stream, or of a half of one.
 #[derive(Debug)]
 pub struct Reading<S>(pub S);
@@ -40,7 +48,7 @@
     loop {
         ready!(stream.poll_read_ready(context))?;
         match stream.try_read_buf(bytes) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if is_to_be_repeated(&error) => {}
             read => return Poll::Ready(read.map(drop)),
         }
     }
@@ -63,7 +71,7 @@
         loop {
             ready!(self.0.poll_write_ready(context))?;
             match write(&self.0) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_to_be_repeated(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
