Play whole processes between stand-ins under seeded faults, before a judge of the clauses alone

Two or three processes, three to six engines, two change logs and twelve clients; troubles drawn from the seed: engines that hang, reset, cut or double answers, drain and start cold, a silent or moving change log, SIGTERM, SIGHUP and SIGKILL, crowds of idle clients, system calls that fail or do a part, a stepped wall clock. The judge knows what clients, engines and logs have seen; each of its rules is tested by a trace that breaks it.

--- /dev/null
+++ b/dispatcher/tests/soak/clients.rs
@@ -0,0 +1,304 @@
+//! Clients: one command at a time or many at once, whole or in pieces; some leave, cancel, stay idle, or go on using a
+//! connection until it is closed.
+
+use crate::judge::{Answer, MILLI, Seen, Time};
+use crate::world::{Draws, Recorder};
+use sedgebeam_lab::wire;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// Where a client may connect.
+#[derive(Clone)]
+pub struct Place {
+    pub dispatcher: usize,
+    pub address: SocketAddr,
+    pub takes: Arc<AtomicBool>,
+}
+
+/// A client stops waiting so long after its limit; the judge says whether that was too late.
+const WAITS_ON: Duration = Duration::from_millis(1_500);
+
+struct Session {
+    stream: TcpStream,
+    bytes: bytes::BytesMut,
+    /// The session's key, for a cancel.
+    key: Vec<u8>,
+}
+
+/// What came of waiting for one answer.
+enum Came {
+    Answer(Answer),
+    Closed,
+    Nothing,
+}
+
+impl Session {
+    async fn open(address: SocketAddr) -> Option<Session> {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(&wire::startup()).await.ok()?;
+        let mut session = Session {
+            stream,
+            bytes: bytes::BytesMut::new(),
+            key: Vec::new(),
+        };
+        let started = timeout(Duration::from_secs(3), session.answer()).await;
+        matches!(started, Ok(Came::Answer(Answer::Served))).then_some(session)
+    }
+
+    /// What is said up to the next word that the server is ready, or to its close.
+    async fn answer(&mut self) -> Came {
+        let mut answer = Answer::Served;
+        let mut told = false;
+        loop {
+            while let Ok(Some((kind, body))) = wire::message(&mut self.bytes) {
+                match kind {
+                    b'Z' => return Came::Answer(answer),
+                    b'K' => self.key = body.to_vec(),
+                    b'E' => {
+                        told = true;
+                        let state = wire::sqlstate(&body);
+                        let refused = state.starts_with(b"53") || state == b"57P03";
+                        answer = if refused {
+                            Answer::Refused
+                        } else {
+                            Answer::Failed
+                        };
+                    }
+                    _ => {}
+                }
+            }
+            match self.stream.read_buf(&mut self.bytes).await {
+                Ok(count) if count > 0 => {}
+                // The last word of a session that ends.
+                _ if told => return Came::Answer(answer),
+                _ => return Came::Closed,
+            }
+        }
+    }
+
+    /// Whether it is open and nothing has been said on it, as far as this end knows.
+    fn rests(&self) -> bool {
+        let read = self.stream.try_read(&mut [0]);
+        read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// One request of a client.
+#[derive(Clone, Copy)]
+struct Request {
+    id: u64,
+    limit: Time,
+    class: &'static str,
+    may_repeat: bool,
+}
+
+impl Request {
+    fn draw(draws: &mut Draws, longest: Time) -> Request {
+        let load = draws.percent(20);
+        let heavy = draws.percent(15);
+        Request {
+            id: draws.next(),
+            limit: 500 * MILLI + draws.below(longest - 500 * MILLI),
+            class: match (load, heavy) {
+                (true, _) => "journal-load",
+                (false, true) => "report",
+                (false, false) => "lookup",
+            },
+            may_repeat: !load,
+        }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let verb = if self.may_repeat {
+            "SELECT * FROM"
+        } else {
+            "INSERT INTO"
+        };
+        let group = self.id % 50;
+        let cpu = if self.class == "lookup" { 80 } else { 2_000 };
+        let text = format!(
+            "/* verb={},txn={:016x},limit={},cpu={cpu}.0,memory=8 */ {verb} sales_{group}.orders",
+            self.class,
+            self.id,
+            self.limit / MILLI
+        );
+        wire::query(&text).to_vec()
+    }
+}
+
+pub struct Client {
+    pub draws: Draws,
+    pub places: Vec<Place>,
+    pub recorder: Recorder,
+    pub over: Arc<AtomicBool>,
+    /// The longest that it waits for an answer.
+    pub longest: Time,
+}
+
+impl Client {
+    /// Asks until all is over.
+    pub async fn run(mut self) {
+        let mut kept: Option<(Session, usize)> = None;
+        while !self.over.load(Ordering::Relaxed) {
+            let pause = if self.draws.percent(5) {
+                self.draws.millis(200, 900)
+            } else {
+                self.draws.millis(1, 60)
+            };
+            sleep(pause).await;
+            let session = kept.take().filter(|(session, _)| session.rests());
+            let rested = session.is_some();
+            let Some((session, dispatcher)) = (match session {
+                Some(session) => Some(session),
+                None => self.connect().await,
+            }) else {
+                continue;
+            };
+            kept = self.ask(session, dispatcher, rested).await;
+        }
+    }
+
+    async fn connect(&mut self) -> Option<(Session, usize)> {
+        let place = self.draws.below(self.places.len() as u64) as usize;
+        let place = self.places[place].clone();
+        if !place.takes.load(Ordering::Relaxed) {
+            return None;
+        }
+        let session = Session::open(place.address).await?;
+        Some((session, place.dispatcher))
+    }
+
+    /// Writes one command, or several at once; the session, where it stays open.
+    async fn ask(
+        &mut self,
+        mut session: Session,
+        dispatcher: usize,
+        rested: bool,
+    ) -> Option<(Session, usize)> {
+        let count = match self.draws.below(100) {
+            0..80 => 1,
+            80..97 => 2 + self.draws.below(6),
+            _ => 70,
+        };
+        let requests: Vec<Request> = (0..count)
+            .map(|_| Request::draw(&mut self.draws, self.longest))
+            .collect();
+        let bytes: Vec<u8> = requests.iter().flat_map(Request::bytes).collect();
+        if !self.write(&mut session, &bytes).await {
+            // The last byte of none is known to have been written.
+            return None;
+        }
+        let mut behind = 0;
+        for request in &requests {
+            behind = request.limit.max(behind);
+            self.recorder.see(Seen::Taken {
+                request: request.id,
+                dispatcher,
+                limit: request.limit,
+                behind,
+                may_repeat: request.may_repeat,
+            });
+        }
+        let leaves = self.draws.percent(8).then(|| self.draws.millis(1, 300));
+        let cancels = count == 1 && self.draws.percent(5);
+        let mut open: VecDeque<Request> = requests.into();
+        let leaves_at = leaves.map(|after| Instant::now() + after);
+        let latest = open.iter().map(|request| request.limit).max().unwrap_or(0);
+        let latest = Instant::now() + Duration::from_micros(latest) + WAITS_ON;
+        while let Some(request) = open.front().copied() {
+            let came = tokio::select! {
+                biased;
+                came = session.answer() => came,
+                () = sleep_until(leaves_at.unwrap_or(latest)), if leaves_at.is_some() => {
+                    self.leave(session, &open, cancels).await;
+                    return None;
+                }
+                () = sleep_until(latest) => Came::Nothing,
+            };
+            let id = request.id;
+            match came {
+                Came::Answer(answer) => {
+                    self.recorder.see(Seen::Answered {
+                        request: id,
+                        answer,
+                    });
+                    open.pop_front();
+                }
+                Came::Closed => {
+                    for request in open {
+                        let (request, rested) = (request.id, rested);
+                        self.recorder.see(Seen::Closed { request, rested });
+                    }
+                    return None;
+                }
+                Came::Nothing => return None,
+            }
+        }
+        Some((session, dispatcher))
+    }
+
+    /// Writes whole, or in pieces.
+    async fn write(&mut self, session: &mut Session, bytes: &[u8]) -> bool {
+        if !self.draws.percent(15) {
+            return session.stream.write_all(bytes).await.is_ok();
+        }
+        let pieces = 2 + self.draws.below(4) as usize;
+        for piece in bytes.chunks(bytes.len() / pieces + 1) {
+            if session.stream.write_all(piece).await.is_err() {
+                return false;
+            }
+            sleep(self.draws.millis(1, 30)).await;
+        }
+        true
+    }
+
+    /// Goes without its answers: closes, or cancels and closes half a second later.
+    async fn leave(&mut self, session: Session, open: &VecDeque<Request>, cancels: bool) {
+        if cancels && let Ok(peer) = session.stream.peer_addr() {
+            let mut bytes = 16u32.to_be_bytes().to_vec();
+            bytes.extend(80_877_102u32.to_be_bytes());
+            bytes.extend(&session.key);
+            if let Ok(mut other) = TcpStream::connect(peer).await
+                && other.write_all(&bytes).await.is_ok()
+            {
+                // It counts once it is read: the connection is closed then.
+                let _ = timeout(Duration::from_secs(2), other.read(&mut [0; 64])).await;
+            }
+        } else {
+            drop(session);
+            open.iter().for_each(|request| self.gone(request));
+            return;
+        }
+        open.iter().for_each(|request| self.gone(request));
+        sleep(Duration::from_millis(500)).await;
+        drop(session);
+    }
+
+    fn gone(&self, request: &Request) {
+        self.recorder.see(Seen::Gone {
+            request: request.id,
+        });
+    }
+}
+
+/// Connections that say nothing, or start and then rest, until all is over.
+pub async fn crowd(place: Place, count: usize, over: Arc<AtomicBool>) {
+    let mut kept = Vec::new();
+    for number in 0..count {
+        if let Ok(mut stream) = TcpStream::connect(place.address).await {
+            if number % 2 == 0 {
+                let _ = stream.write_all(&wire::startup()).await;
+            }
+            kept.push(stream);
+        }
+    }
+    while !over.load(Ordering::Relaxed) {
+        sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/soak/judge.rs
@@ -0,0 +1,403 @@
+//! What must hold of a run, judged by what clients, engines and the change log have seen, and by nothing of the program.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+
+/// Microseconds since the run began.
+pub type Time = u64;
+
+pub const MILLI: Time = 1_000;
+/// Every limit of time is this much longer on sockets.
+const SLACK: Time = 50 * MILLI;
+/// An answer so long after its time earns nothing; later it is lost.
+const LATE_BY: Time = 500 * MILLI;
+/// What goes on to a resting connection while that is being closed is sent again.
+const CROSSES: Time = 50 * MILLI;
+/// An attempt begins no longer than this after its client has gone.
+const GONE_BY: Time = 100 * MILLI;
+/// The time passed to an engine is at most what is left, and this.
+const LEFT_AND: Time = 150 * MILLI;
+/// A dispatcher that starts is ready by then.
+const READY_BY: Time = 10_000 * MILLI;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Served,
+    Refused,
+    Failed,
+}
+
+/// How an attempt ended at its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It may have run.
+    MayHaveRun,
+    /// The engine said that it never ran.
+    NeverRan,
+}
+
+/// What was seen. Fields that no rule reads stand in the histories of violations.
+#[derive(Clone, Copy, Debug)]
+#[allow(dead_code, reason = "some fields are only shown")]
+pub enum Seen {
+    /// The last byte of a request was written to a connection of the dispatcher.
+    Taken {
+        request: u64,
+        dispatcher: usize,
+        limit: Time,
+        /// Answers come in order: the longest limit of it and of those that were written ahead of it with it.
+        behind: Time,
+        may_repeat: bool,
+    },
+    /// Its client closed or cancelled.
+    Gone {
+        request: u64,
+    },
+    Answered {
+        request: u64,
+        answer: Answer,
+    },
+    /// Its connection ended without a whole answer; whether it had rested until the request was written.
+    Closed {
+        request: u64,
+        rested: bool,
+    },
+    /// An engine has read it whole.
+    Begun {
+        request: u64,
+        engine: usize,
+        told: Time,
+        work_ms: u64,
+    },
+    Over {
+        request: u64,
+        engine: usize,
+        end: End,
+    },
+    /// The change log has told a dispatcher that the engine drains, or counts as having told it.
+    Drained {
+        engine: usize,
+    },
+    /// The dispatcher was killed, earlier than the end of an orderly shutdown.
+    Killed {
+        dispatcher: usize,
+    },
+    /// The process was started, and said that it is ready.
+    Started {
+        dispatcher: usize,
+    },
+    Ready {
+        dispatcher: usize,
+    },
+    /// What a process held, and may hold.
+    Held {
+        dispatcher: usize,
+        what: &'static str,
+        held: u64,
+        allowed: u64,
+    },
+    /// A process ended though nobody had told it to, or with a status other than 0.
+    Crashed {
+        dispatcher: usize,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    Answered,
+    AnsweredOnce,
+    NotRepeated,
+    OneAttemptOut,
+    NothingAfterItsClient,
+    DrainKept,
+    TimeLeft,
+    ColdBudget,
+    Limits,
+    Ready,
+    NoCrash,
+}
+
+#[derive(Clone, Debug)]
+pub struct Violation {
+    pub rule: Rule,
+    /// None where it is about no request.
+    pub request: Option<u64>,
+    pub history: Vec<String>,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.request {
+            Some(request) => writeln!(f, "{:?}: request {request:016x}", self.rule)?,
+            None => writeln!(f, "{:?}", self.rule)?,
+        }
+        self.history
+            .iter()
+            .try_for_each(|line| writeln!(f, "  {line}"))
+    }
+}
+
+/// What the run allows.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub drain_grace: Time,
+    /// The most that cold engines may be sent in a window, by the engine, and until when it is cold.
+    pub cold: BTreeMap<usize, Cold>,
+    /// The longest time for which this machine kept the run itself from going on.
+    pub stall: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub from: Time,
+    pub until: Time,
+    pub window: Time,
+    /// So many requests of mean work.
+    pub most: f64,
+    pub mean_ms: f64,
+}
+
+impl Cold {
+    /// The most requests of mean work where so many are what the settings allow.
+    pub fn budget(allowed: f64) -> f64 {
+        let root = allowed.sqrt();
+        if allowed < 30.0 {
+            allowed + 3.0 * root + 3.0
+        } else {
+            allowed + 2.0 * root + 2.0
+        }
+    }
+}
+
+pub struct Trace(pub Vec<(Time, Seen)>);
+
+#[derive(Default)]
+struct History {
+    taken: Vec<(Time, usize, Time)>,
+    behind: Time,
+    may_repeat: bool,
+    gone: Option<Time>,
+    answers: Vec<(Time, Answer)>,
+    closes: Vec<(Time, bool)>,
+    begun: Vec<(Time, usize, Time)>,
+    over: Vec<(Time, usize, End)>,
+}
+
+impl Trace {
+    /// All that was broken.
+    pub fn judge(&self, terms: &Terms) -> Vec<Violation> {
+        let mut broken = Vec::new();
+        let slack = SLACK + terms.stall;
+        for (request, history) in self.histories() {
+            for rule in history.broken(terms, slack, self) {
+                let request = Some(request);
+                let history = self.lines_about(request);
+                broken.push(Violation {
+                    rule,
+                    request,
+                    history,
+                });
+            }
+        }
+        broken.extend(self.broken_by_processes(slack));
+        broken.extend(self.cold_budgets_broken(terms));
+        broken
+    }
+
+    fn histories(&self) -> BTreeMap<u64, History> {
+        let mut histories: BTreeMap<u64, History> = BTreeMap::new();
+        for (at, seen) in &self.0 {
+            let at = *at;
+            let Some(request) = request_of(seen) else {
+                continue;
+            };
+            let history = histories.entry(request).or_default();
+            match *seen {
+                Seen::Taken {
+                    dispatcher,
+                    limit,
+                    behind,
+                    may_repeat,
+                    ..
+                } => {
+                    history.behind = behind;
+                    history.taken.push((at, dispatcher, limit));
+                    history.may_repeat = may_repeat;
+                }
+                Seen::Gone { .. } => history.gone = history.gone.or(Some(at)),
+                Seen::Answered { answer, .. } => history.answers.push((at, answer)),
+                Seen::Closed { rested, .. } => history.closes.push((at, rested)),
+                Seen::Begun { engine, told, .. } => history.begun.push((at, engine, told)),
+                Seen::Over { engine, end, .. } => history.over.push((at, engine, end)),
+                _ => {}
+            }
+        }
+        histories
+    }
+
+    fn lines_about(&self, request: Option<u64>) -> Vec<String> {
+        let about = self
+            .0
+            .iter()
+            .filter(|(_, seen)| request_of(seen) == request);
+        about
+            .map(|(at, seen)| format!("{:>9.3} ms {seen:?}", *at as f64 / 1e3))
+            .collect()
+    }
+
+    fn killed_within(&self, dispatcher: usize, from: Time, to: Time) -> bool {
+        self.0.iter().any(|(at, seen)| {
+            matches!(seen, Seen::Killed { dispatcher: killed } if *killed == dispatcher)
+                && (from..=to).contains(at)
+        })
+    }
+
+    fn drained(&self, engine: usize) -> Option<Time> {
+        self.0.iter().find_map(|(at, seen)| {
+            matches!(seen, Seen::Drained { engine: drained } if *drained == engine).then_some(*at)
+        })
+    }
+
+    fn broken_by_processes(&self, slack: Time) -> Vec<Violation> {
+        let mut broken = Vec::new();
+        let mut started: HashMap<usize, Time> = HashMap::new();
+        let mut violation = |rule, at: Time, seen: &Seen| {
+            broken.push(Violation {
+                rule,
+                request: None,
+                history: vec![format!("{:>9.3} ms {seen:?}", at as f64 / 1e3)],
+            });
+        };
+        for (at, seen) in &self.0 {
+            match seen {
+                Seen::Started { dispatcher } => {
+                    started.insert(*dispatcher, *at);
+                }
+                Seen::Ready { dispatcher } => {
+                    let began = started.remove(dispatcher).unwrap_or(*at);
+                    if *at > began + READY_BY + slack {
+                        violation(Rule::Ready, *at, seen);
+                    }
+                }
+                Seen::Held { held, allowed, .. } if held > allowed => {
+                    violation(Rule::Limits, *at, seen);
+                }
+                Seen::Crashed { .. } => violation(Rule::NoCrash, *at, seen),
+                _ => {}
+            }
+        }
+        broken
+    }
+
+    fn cold_budgets_broken(&self, terms: &Terms) -> Vec<Violation> {
+        let mut broken = Vec::new();
+        for (engine, cold) in &terms.cold {
+            let sends = self.0.iter().filter_map(|(at, seen)| match seen {
+                Seen::Begun {
+                    engine: to,
+                    work_ms,
+                    ..
+                } if to == engine => Some((*at, *work_ms)),
+                _ => None,
+            });
+            let sends = sends.filter(|(at, _)| (cold.from..cold.until).contains(at));
+            let sends: Vec<(Time, u64)> = sends.collect();
+            let most = (0..sends.len()).map(|first| {
+                let until = sends[first].0 + cold.window;
+                let within = sends[first..].iter().take_while(|(at, _)| *at < until);
+                within
+                    .map(|(_, work_ms)| *work_ms as f64 / cold.mean_ms)
+                    .sum()
+            });
+            let most = most.fold(0.0, f64::max);
+            if most > cold.most {
+                broken.push(Violation {
+                    rule: Rule::ColdBudget,
+                    request: None,
+                    history: vec![format!(
+                        "engine {engine}: {most:.1} of mean work in a window, {cold:?}"
+                    )],
+                });
+            }
+        }
+        broken
+    }
+}
+
+fn request_of(seen: &Seen) -> Option<u64> {
+    match seen {
+        Seen::Taken { request, .. }
+        | Seen::Gone { request }
+        | Seen::Answered { request, .. }
+        | Seen::Closed { request, .. }
+        | Seen::Begun { request, .. }
+        | Seen::Over { request, .. } => Some(*request),
+        _ => None,
+    }
+}
+
+impl History {
+    fn broken(&self, terms: &Terms, slack: Time, trace: &Trace) -> Vec<Rule> {
+        let mut broken = Vec::new();
+        let mut check = |rule, holds: bool| {
+            if !holds {
+                broken.push(rule);
+            }
+        };
+        check(Rule::Answered, self.is_answered(slack, trace));
+        check(Rule::AnsweredOnce, self.answers.len() <= 1);
+        check(Rule::NotRepeated, self.may_repeat || self.is_run_once());
+        check(Rule::OneAttemptOut, self.has_one_out(slack));
+        let gone = self.gone.map(|gone| gone + GONE_BY + slack);
+        let after = |begun: &&(Time, usize, Time)| gone.is_some_and(|gone| begun.0 > gone);
+        check(
+            Rule::NothingAfterItsClient,
+            self.begun.iter().find(after).is_none(),
+        );
+        let drained = |(at, engine, _): &&(Time, usize, Time)| {
+            let told = trace.drained(*engine);
+            told.is_some_and(|told| *at > told + terms.drain_grace + slack)
+        };
+        check(Rule::DrainKept, self.begun.iter().find(drained).is_none());
+        let too_long = |(at, _, told): &&(Time, usize, Time)| {
+            let taken = self.taken.last();
+            taken.is_some_and(|(taken, _, limit)| at + told > taken + limit + LEFT_AND + slack)
+        };
+        check(Rule::TimeLeft, self.begun.iter().find(too_long).is_none());
+        broken
+    }
+
+    /// One whole final answer in time; or its client has gone, its dispatcher was killed, or it crossed the close of a
+    /// connection that rested, and nothing of it was sent on.
+    fn is_answered(&self, slack: Time, trace: &Trace) -> bool {
+        let Some((taken, dispatcher, _)) = self.taken.last().copied() else {
+            return true;
+        };
+        let due = taken + self.behind + LATE_BY + slack;
+        if let Some((at, _)) = self.answers.first() {
+            return *at <= due || self.gone.is_some();
+        }
+        let crossed = self.closes.last().is_some_and(|(at, rested)| {
+            *rested && *at <= taken + CROSSES + slack && self.begun.is_empty()
+        });
+        self.gone.is_some() || crossed || trace.killed_within(dispatcher, taken, due)
+    }
+
+    /// No second attempt, unless the engine of each before it had said that it never ran.
+    fn is_run_once(&self) -> bool {
+        let tries = self.begun.len().saturating_sub(1);
+        let earlier = self.begun.iter().take(tries);
+        earlier.into_iter().all(|(_, engine, _)| {
+            let mut ends = self.over.iter().filter(|(_, at, _)| at == engine);
+            ends.any(|(_, _, end)| *end == End::NeverRan)
+        })
+    }
+
+    fn has_one_out(&self, slack: Time) -> bool {
+        self.begun.windows(2).all(|pair| {
+            let ((_, engine, _), (next, _, _)) = (pair[0], pair[1]);
+            let mut ends = self.over.iter().filter(|(_, at, _)| *at == engine);
+            ends.any(|(at, _, _)| *at <= next + slack)
+        })
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/soak/main.rs
@@ -0,0 +1,512 @@
+//! A soak: real processes of the program between stand-ins, under a load and faults drawn from a seed, and a judge that knows the
+//! clauses and nothing of the program.
+//!
+//! `cargo test` runs a few seeds for a short while. A longer run is started by hand, with its seeds and how many troubles each
+//! has: `SEDGEBEAM_SOAK_SEEDS=1..51 SEDGEBEAM_SOAK_TROUBLES=12 cargo test -p sedgebeam --test soak -- soak --nocapture`.
+
+mod clients;
+#[path = "../faults/mod.rs"]
+mod faults;
+mod judge;
+mod judge_tests;
+mod program;
+mod world;
+
+use clients::{Client, Place, crowd};
+use faults::{Call, Fault};
+use judge::{Cold, MILLI, Seen, Terms, Time, Trace, Violation};
+use program::Dispatcher;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::time::{sleep, timeout};
+use world::{ChangeLog, Draws, Engine, Recorder, change_log, engine};
+
+const SEEDS: Range<u64> = 1..5;
+const TROUBLES: usize = 6;
+const CLIENTS: u64 = 12;
+const GRACE: Duration = Duration::from_millis(500);
+/// What the change log has to tell counts as told by then, heard or not.
+const TOLD_BY: Duration = Duration::from_secs(7);
+/// The time within which a change log that is well tells of a change.
+const TELLS_WITHIN: Duration = Duration::from_millis(50);
+
+const CORES: f64 = 12.0;
+const START_CAPACITY: f64 = 0.3;
+const WARM_AFTER_MS: f64 = 5_000.0;
+const FALL_MULTIPLE: f64 = 4.0;
+const OVERLOAD_FOR: Time = 1_000 * MILLI;
+/// Mean work of a request, by how often each class is asked for.
+const MEAN_WORK_MS: f64 = 0.68 * 80.0 + 0.32 * 2_000.0;
+
+fn settings(dispatchers: usize, longest: Time) -> String {
+    let give_up = longest / MILLI;
+    let grace = GRACE.as_millis();
+    let overload_for = OVERLOAD_FOR / MILLI;
+    format!(
+        r#"{{"balancers": {dispatchers}, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
+  "domain": {{"class_load": [false, false, true], "class_waits": [true, true, false], "priorities": true,
+    "threads_by_class": [1, 4, 2], "size_cores": [{CORES}], "size_mb": [24576.0], "tells_cost": true}},
+  "limits": {{"cancel": true, "max_attempts": 3, "max_streams": 8, "connect_timeout": 250.0,
+    "conn_idle": 3000.0, "max_retry_after": 1000.0}},
+  "rules": {{"answer_slack": 20.0, "drain_grace": {grace}.0, "start_capacity": {START_CAPACITY},
+    "warm_after": {WARM_AFTER_MS}, "fall_multiple": {FALL_MULTIPLE}, "overload_for": {overload_for}.0}},
+  "services": [
+    {{"name": "lookup", "worth": 1.0, "on_time": 500.0, "give_up": {give_up}.0, "effect": "repeatable"}},
+    {{"name": "report", "worth": 12.0, "on_time": 1000.0, "give_up": {give_up}.0, "effect": "repeatable"}},
+    {{"name": "journal-load", "worth": 12.0, "on_time": 1000.0, "give_up": {give_up}.0, "effect": "once"}}]}}"#
+    )
+}
+
+fn target(engine: &Engine, state: &str, boot_ms: u128) -> String {
+    format!(
+        r#"{{"uid":"s-{:08x}","endpoint":"{}","az":"a","model":"std","pod_group":0,"state":"{state}","capacity_hint":4,"boot_ms":{boot_ms}}}"#,
+        engine.number, engine.address
+    )
+}
+
+/// The longest time for which this machine kept a thread of the run from going on.
+struct Stall(Arc<AtomicU64>, Arc<AtomicBool>);
+
+impl Stall {
+    fn watch(over: Arc<AtomicBool>) -> Stall {
+        const BEAT: Duration = Duration::from_millis(5);
+        let longest = Arc::new(AtomicU64::new(0));
+        let (told, done) = (longest.clone(), over.clone());
+        std::thread::spawn(move || {
+            while !done.load(Ordering::Relaxed) {
+                let began = Instant::now();
+                std::thread::sleep(BEAT);
+                let late = began.elapsed().saturating_sub(BEAT).as_micros() as u64;
+                told.fetch_max(late, Ordering::Relaxed);
+            }
+        });
+        Stall(longest, over)
+    }
+
+    fn longest(&self) -> Time {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Stall {
+    fn drop(&mut self) {
+        self.1.store(true, Ordering::Relaxed);
+    }
+}
+
+/// One run.
+struct Run {
+    seed: u64,
+    draws: Draws,
+    recorder: Recorder,
+    longest: Time,
+    settings: String,
+    engines: Vec<Engine>,
+    draining: Vec<usize>,
+    events: Arc<Mutex<Vec<String>>>,
+    logs: Vec<ChangeLog>,
+    dispatchers: Vec<Dispatcher>,
+    cold: BTreeMap<usize, Cold>,
+    /// When what the change log tells may last have gone astray.
+    disturbed: Option<Instant>,
+    over: Arc<AtomicBool>,
+    /// For the clients' idle crowds.
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Run {
+    async fn new(seed: u64) -> Run {
+        let mut draws = Draws::new(seed);
+        let recorder = Recorder::new();
+        let dispatchers = 2 + draws.below(2) as usize;
+        let longest = (1_500 + draws.below(1_500)) * MILLI;
+        let mut engines = Vec::new();
+        for number in 1..=3 + draws.below(3) as usize {
+            let (faults, seed) = (draws.below(20), draws.next());
+            engines.push(engine(number, faults, seed, recorder.clone()).await);
+        }
+        let targets: Vec<String> = engines
+            .iter()
+            .map(|engine| target(engine, "up", 0))
+            .collect();
+        let whole = format!(
+            r#"{{"seq":1,"fleet":{{"rev":1,"all":true,"targets":[{}]}}}}"#,
+            targets.join(",")
+        );
+        let events = Arc::new(Mutex::new(vec![whole]));
+        let mut logs = Vec::new();
+        for _ in 0..2 {
+            logs.push(change_log(events.clone()).await);
+        }
+        let dispatchers: Vec<Dispatcher> = (0..dispatchers)
+            .map(|number| Dispatcher::new(seed, number, &recorder))
+            .collect();
+        Run {
+            seed,
+            settings: settings(dispatchers.len(), longest),
+            draws,
+            recorder,
+            longest,
+            engines,
+            draining: Vec::new(),
+            events,
+            logs,
+            dispatchers,
+            cold: BTreeMap::new(),
+            disturbed: None,
+            over: Arc::default(),
+            tasks: Vec::new(),
+        }
+    }
+
+    fn configure(&self, number: usize) {
+        let events = self.events.lock().expect("nobody panicked");
+        let known = format!(
+            r#"{{"seq":{},"results":[{}]}}"#,
+            events.len(),
+            events.join(",")
+        );
+        let log: SocketAddr = self.logs[0].address;
+        self.dispatchers[number].configure(&known, log, &self.settings);
+    }
+
+    async fn start(&mut self, number: usize) {
+        self.configure(number);
+        self.dispatchers[number].start().await;
+    }
+
+    fn tell(&self, target: &str) {
+        let mut events = self.events.lock().expect("nobody panicked");
+        let seq = events.len() + 1;
+        events.push(format!(
+            r#"{{"seq":{seq},"fleet":{{"rev":{seq},"all":false,"targets":[{target}]}}}}"#
+        ));
+    }
+
+    fn disturb(&mut self) {
+        self.disturbed = Some(Instant::now());
+    }
+
+    fn one_dispatcher(&mut self) -> usize {
+        self.draws.below(self.dispatchers.len() as u64) as usize
+    }
+
+    /// One trouble, and some time after it.
+    async fn trouble(&mut self) {
+        match self.draws.below(10) {
+            0 => self.hang().await,
+            1 => self.drain().await,
+            2 => self.join_cold().await,
+            3 => self.silence().await,
+            4 => self.move_log().await,
+            5 => self.end_one().await,
+            6 => self.kill_one().await,
+            7 => self.crowd_one(),
+            _ => self.fail_calls().await,
+        }
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.look();
+        }
+        sleep(self.draws.millis(100, 600)).await;
+    }
+
+    /// An engine answers nothing for a while.
+    async fn hang(&mut self) {
+        let place = self.draws.below(self.engines.len() as u64) as usize;
+        let hangs = self.engines[place].hangs.clone();
+        hangs.store(true, Ordering::Relaxed);
+        let time = self.draws.millis(300, 1_500);
+        self.tasks.push(tokio::spawn(async move {
+            sleep(time).await;
+            hangs.store(false, Ordering::Relaxed);
+        }));
+    }
+
+    /// An engine begins to drain; two are left in any case.
+    async fn drain(&mut self) {
+        let up: Vec<usize> = (0..self.engines.len())
+            .filter(|place| !self.draining.contains(place))
+            .collect();
+        if up.len() <= 2 {
+            return;
+        }
+        let place = up[self.draws.below(up.len() as u64) as usize];
+        self.draining.push(place);
+        self.tell(&target(&self.engines[place], "draining", 0));
+        let calm = self.disturbed.is_none_or(|at| at.elapsed() > TOLD_BY);
+        let told = if calm { TELLS_WITHIN } else { TOLD_BY };
+        let (recorder, engine) = (self.recorder.clone(), self.engines[place].number);
+        self.tasks.push(tokio::spawn(async move {
+            sleep(told).await;
+            recorder.see(Seen::Drained { engine });
+        }));
+    }
+
+    /// An engine starts, and is cold.
+    async fn join_cold(&mut self) {
+        let number = self.engines.len() + 1;
+        let seed = self.draws.next();
+        let new = engine(number, 0, seed, self.recorder.clone()).await;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let boot_ms = now.expect("a clock").as_millis();
+        let from = self.recorder.now();
+        self.tell(&target(&new, "up", boot_ms));
+        self.engines.push(new);
+        let half = OVERLOAD_FOR as f64 / MILLI as f64 / 2.0 / WARM_AFTER_MS;
+        let able = START_CAPACITY + (1.0 - START_CAPACITY) * half;
+        let window = OVERLOAD_FOR as f64 / 1e6;
+        let allowed = FALL_MULTIPLE * able * CORES * window * 1e3 / MEAN_WORK_MS;
+        let cold = Cold {
+            from,
+            until: from + OVERLOAD_FOR,
+            window: OVERLOAD_FOR,
+            most: Cold::budget(allowed),
+            mean_ms: MEAN_WORK_MS,
+        };
+        self.cold.insert(number, cold);
+    }
+
+    /// The change log says nothing, and closes nothing.
+    async fn silence(&mut self) {
+        self.disturb();
+        for log in &self.logs {
+            log.silent.store(true, Ordering::Relaxed);
+        }
+        sleep(self.draws.millis(200, 2_500)).await;
+        for log in &self.logs {
+            log.silent.store(false, Ordering::Relaxed);
+        }
+        self.disturb();
+    }
+
+    /// New configurations in a row, each with another change log.
+    async fn move_log(&mut self) {
+        self.disturb();
+        for _ in 0..1 + self.draws.below(3) {
+            self.logs.swap(0, 1);
+            for number in 0..self.dispatchers.len() {
+                self.configure(number);
+                self.dispatchers[number].signal("-HUP");
+            }
+            sleep(self.draws.millis(10, 200)).await;
+        }
+    }
+
+    async fn end_one(&mut self) {
+        self.disturb();
+        let number = self.one_dispatcher();
+        // What hangs, hangs through all of it.
+        let place = self.draws.below(self.engines.len() as u64) as usize;
+        let hangs = self.engines[place].hangs.clone();
+        hangs.store(self.draws.percent(60), Ordering::Relaxed);
+        let longest = Duration::from_micros(self.longest);
+        self.dispatchers[number].end(longest).await;
+        hangs.store(false, Ordering::Relaxed);
+        self.start(number).await;
+    }
+
+    async fn kill_one(&mut self) {
+        self.disturb();
+        let number = self.one_dispatcher();
+        self.dispatchers[number].kill().await;
+        self.start(number).await;
+    }
+
+    /// Idle clients take what descriptors they can get.
+    fn crowd_one(&mut self) {
+        let number = self.one_dispatcher();
+        let (place, over) = (self.place(number), self.over.clone());
+        let count = 100 + self.draws.below(150) as usize;
+        self.tasks.push(tokio::spawn(crowd(place, count, over)));
+    }
+
+    /// System calls of one dispatcher fail, or do a part, for a moment.
+    async fn fail_calls(&mut self) {
+        const EINTR: i32 = 4;
+        const ENFILE: i32 = 23;
+        const EADDRNOTAVAIL: i32 = 99;
+        const ECONNABORTED: i32 = 103;
+        const ENOBUFS: i32 = 105;
+        const HOUR: i32 = 3_600;
+        self.disturb();
+        let number = self.one_dispatcher();
+        let (kind, time) = (self.draws.below(9), self.draws.millis(200, 800));
+        let faults = &self.dispatchers[number].faults;
+        let call = match kind {
+            0 => {
+                faults.always(Call::Recv, Fault::Short);
+                Call::Recv
+            }
+            1 => {
+                faults.always(Call::Send, Fault::Short);
+                Call::Send
+            }
+            2 => {
+                faults.each(3, Call::Recv, Fault::Error(EINTR));
+                Call::Recv
+            }
+            3 => {
+                faults.each(3, Call::Send, Fault::Error(EINTR));
+                Call::Send
+            }
+            4 => {
+                faults.each(2, Call::Accept, Fault::Error(ENFILE));
+                Call::Accept
+            }
+            5 => {
+                faults.each(2, Call::Accept, Fault::Error(ECONNABORTED));
+                Call::Accept
+            }
+            6 => {
+                faults.each(2, Call::Connect, Fault::Error(EADDRNOTAVAIL));
+                Call::Connect
+            }
+            7 => {
+                faults.always(Call::SetSockOpt, Fault::Error(ENOBUFS));
+                Call::SetSockOpt
+            }
+            _ => {
+                let hour = if self.draws.percent(50) { HOUR } else { -HOUR };
+                faults.step_wall_clock(hour);
+                Call::WallClock
+            }
+        };
+        sleep(time).await;
+        self.dispatchers[number].faults.end(call);
+    }
+
+    fn place(&self, number: usize) -> Place {
+        let dispatcher = &self.dispatchers[number];
+        Place {
+            dispatcher: number,
+            address: dispatcher.address,
+            takes: dispatcher.takes.clone(),
+        }
+    }
+
+    /// Plays so many troubles; what was broken, and how many requests there were.
+    async fn play(mut self, troubles: usize) -> (Vec<Violation>, Counts) {
+        let stall = Stall::watch(Arc::default());
+        for number in 0..self.dispatchers.len() {
+            self.start(number).await;
+        }
+        let places: Vec<Place> = (0..self.dispatchers.len())
+            .map(|number| self.place(number))
+            .collect();
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let client = Client {
+                    draws: Draws::new((self.seed << 8) | client),
+                    places: places.clone(),
+                    recorder: self.recorder.clone(),
+                    over: self.over.clone(),
+                    longest: self.longest,
+                };
+                tokio::spawn(client.run())
+            })
+            .collect();
+        sleep(Duration::from_millis(300)).await;
+        for _ in 0..troubles {
+            self.trouble().await;
+        }
+        let longest = Duration::from_micros(self.longest);
+        // The end of all, with clients that go on.
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.look();
+            dispatcher.end(longest).await;
+        }
+        self.over.store(true, Ordering::Relaxed);
+        for task in clients.into_iter().chain(std::mem::take(&mut self.tasks)) {
+            let ended = timeout(Duration::from_secs(30), task).await;
+            ended.expect("it ends").expect("no panic");
+        }
+        let terms = Terms {
+            drain_grace: GRACE.as_micros() as Time,
+            cold: self.cold.clone(),
+            stall: stall.longest(),
+        };
+        let trace = Trace(self.recorder.take());
+        let counts = Counts::of(&trace, &terms);
+        (trace.judge(&terms), counts)
+    }
+}
+
+#[derive(Debug, Default)]
+#[allow(dead_code, reason = "for the report of a run")]
+struct Counts {
+    taken: usize,
+    answered: usize,
+    closed: usize,
+    gone: usize,
+    begun: usize,
+    cold: usize,
+    drained: usize,
+    killed: usize,
+    started: usize,
+    stall_ms: Time,
+}
+
+impl Counts {
+    fn of(trace: &Trace, terms: &Terms) -> Counts {
+        let mut counts = Counts {
+            cold: terms.cold.len(),
+            stall_ms: terms.stall / MILLI,
+            ..Counts::default()
+        };
+        for (_, seen) in &trace.0 {
+            match seen {
+                Seen::Taken { .. } => counts.taken += 1,
+                Seen::Answered { .. } => counts.answered += 1,
+                Seen::Closed { .. } => counts.closed += 1,
+                Seen::Gone { .. } => counts.gone += 1,
+                Seen::Begun { .. } => counts.begun += 1,
+                Seen::Drained { .. } => counts.drained += 1,
+                Seen::Killed { .. } => counts.killed += 1,
+                Seen::Started { .. } => counts.started += 1,
+                _ => {}
+            }
+        }
+        counts
+    }
+}
+
+fn seeds() -> Range<u64> {
+    let Ok(told) = std::env::var("SEDGEBEAM_SOAK_SEEDS") else {
+        return SEEDS;
+    };
+    let (from, to) = told.split_once("..").expect("FROM..TO");
+    let number = |text: &str| text.parse::<u64>().expect("a number");
+    number(from)..number(to)
+}
+
+fn troubles() -> usize {
+    let told = std::env::var("SEDGEBEAM_SOAK_TROUBLES").ok();
+    told.map_or(TROUBLES, |told| told.parse().expect("a number"))
+}
+
+#[test]
+fn a_soak_breaks_no_clause() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("a runtime");
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let (violations, counts) = runtime.block_on(async {
+            let run = Run::new(seed).await;
+            run.play(troubles()).await
+        });
+        println!("seed {seed}: {counts:?}, {} broken", violations.len());
+        for violation in &violations {
+            println!("seed {seed}: {violation}");
+        }
+        assert!(counts.taken > 100, "seed {seed} hardly asks anything");
+        broken.extend(violations.iter().map(|violation| (seed, violation.rule)));
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
