--- a/dispatcher/tests/soak/program.rs
+++ b/dispatcher/tests/soak/program.rs
@@ -121,11 +121,12 @@
     /// Kills the process as a machine dies, and waits until it has gone.
     pub async fn kill(&mut self) {
         self.takes.store(false, Ordering::Relaxed);
+        self.signal("-KILL");
+        self.gone().await;
+        // Only now: what was written to it before the signal took effect is excused too.
         self.recorder.see(Seen::Killed {
             dispatcher: self.number,
         });
-        self.signal("-KILL");
-        self.gone().await;
     }
 
     /// Ends the process in order: SIGTERM, with other signals behind it, and SIGKILL at the earliest moment at which the
