--- a/dispatcher/tests/scenarios/extremes.rs
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -9,6 +9,15 @@
     SETTINGS.replace("\"give_up\": 60000.0", "\"give_up\": 600000.0")
 }
 
+/// The program before these engines, with system calls that may be faulty.
+fn with_faults(engines: &[&str], faults: &Faults) -> Stage {
+    let options = Options {
+        faults: Some(faults),
+        ..Options::default()
+    };
+    Stage::with(engines, &options)
+}
+
 #[test]
 fn what_hangs_at_an_engine_is_answered_before_the_earliest_kill() {
     let settings = patient();
@@ -35,11 +44,7 @@
 #[test]
 fn what_a_short_read_leaves_in_a_socket_is_read() {
     let faults = Faults::none();
-    let options = Options {
-        faults: Some(&faults),
-        ..Options::default()
-    };
-    let mut stage = Stage::with(&["e1", "log"], &options);
+    let mut stage = with_faults(&["e1", "log"], &faults);
     stage.play("log expect asked 1");
     faults.always(Call::Recv, Fault::Short);
     stage.play(
@@ -63,11 +68,7 @@
 #[test]
 fn an_option_that_can_not_be_set_drops_no_connection() {
     let faults = Faults::none();
-    let options = Options {
-        faults: Some(&faults),
-        ..Options::default()
-    };
-    let mut stage = Stage::with(&["e1", "log"], &options);
+    let mut stage = with_faults(&["e1", "log"], &faults);
     faults.always(Call::SetSockOpt, Fault::Error(ENOBUFS));
     stage.play(
         "c1 send lookup 1
@@ -86,11 +87,7 @@
     for call in [Call::Socket, Call::SetSockOpt, Call::Bind, Call::Listen] {
         let faults = Faults::none();
         faults.times(6, call, Fault::Error(ENOBUFS));
-        let options = Options {
-            faults: Some(&faults),
-            ..Options::default()
-        };
-        let mut stage = Stage::with(&["e1"], &options);
+        let mut stage = with_faults(&["e1"], &faults);
         assert_eq!(faults.injected(call), 6, "{call:?}");
         stage.play(
             "c1 send lookup 1
@@ -108,11 +105,7 @@
 #[test]
 fn a_connection_in_the_queue_when_accepting_ends_is_told() {
     let faults = Faults::none();
-    let options = Options {
-        faults: Some(&faults),
-        ..Options::default()
-    };
-    let mut stage = Stage::with(&["e1"], &options);
+    let mut stage = with_faults(&["e1"], &faults);
     faults.always(Call::Accept, Fault::Error(ENFILE));
     let mut said = startup();
     said.extend(query(&statement("lookup 1")));
@@ -131,11 +124,7 @@
 #[test]
 fn interrupted_calls_lose_no_request() {
     let faults = Faults::none();
-    let options = Options {
-        faults: Some(&faults),
-        ..Options::default()
-    };
-    let mut stage = Stage::with(&["e1", "log"], &options);
+    let mut stage = with_faults(&["e1", "log"], &faults);
     stage.play("log expect asked 1");
     for call in [Call::Accept, Call::Connect, Call::Recv, Call::Send] {
         faults.each(2, call, Fault::Error(EINTR));
@@ -161,11 +150,7 @@
     const ECONNABORTED: i32 = 103;
     for error in [ENFILE, ECONNABORTED, ENOBUFS] {
         let faults = Faults::none();
-        let options = Options {
-            faults: Some(&faults),
-            ..Options::default()
-        };
-        let mut stage = Stage::with(&["e1"], &options);
+        let mut stage = with_faults(&["e1"], &faults);
         faults.times(5, Call::Accept, Fault::Error(error));
         stage.play(
             "c1 send lookup 1
@@ -188,11 +173,7 @@
         (Call::Socket, ENOBUFS),
     ] {
         let faults = Faults::none();
-        let options = Options {
-            faults: Some(&faults),
-            ..Options::default()
-        };
-        let mut stage = Stage::with(&["e1"], &options);
+        let mut stage = with_faults(&["e1"], &faults);
         faults.times(2, call, Fault::Error(error));
         stage.play("c1 send journal-load 1");
         let (who, heard) = stage.hear_any(&["c1", "e1"]);
@@ -215,11 +196,7 @@
     const EHOSTUNREACH: i32 = 113;
     for error in [ETIMEDOUT, EHOSTUNREACH] {
         let faults = Faults::none();
-        let options = Options {
-            faults: Some(&faults),
-            ..Options::default()
-        };
-        let mut stage = Stage::with(&["e1", "e2"], &options);
+        let mut stage = with_faults(&["e1", "e2"], &faults);
         stage.play("c1 send journal-load 1");
         let (engine, heard) = stage.hear_any(&["e1", "e2"]);
         assert!(heard.starts_with("fetch 1"), "{heard}");
@@ -239,11 +216,7 @@
 fn a_wall_clock_that_is_stepped_moves_no_deadline() {
     const HOUR: i32 = 3600;
     let faults = Faults::none();
-    let options = Options {
-        faults: Some(&faults),
-        ..Options::default()
-    };
-    let mut stage = Stage::with(&["e1"], &options);
+    let mut stage = with_faults(&["e1"], &faults);
     let mut id = 0;
     for step in [HOUR, -HOUR, 0, 5, -5] {
         for (before, after) in [(true, false), (false, true)] {
