Give each program of the tests of large fleets a folder of its own

Cause: two tests that run side by side started a program in the same folder, and one took the other's configuration, without a change log: the test then waited for ever. Seen once, in the whole run of the tests, which did not end; earlier runs of these tests passed.

--- a/dispatcher/tests/large_fleet.rs
+++ b/dispatcher/tests/large_fleet.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -55,7 +56,10 @@
 impl Program {
     /// Starts the program before so many engines.
     fn start(engines: usize, changelog: Option<SocketAddr>) -> Program {
-        let name = format!("sedgebeam-fleet-{}-{engines}", std::process::id());
+        // Tests run side by side: each program has a folder of its own.
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("sedgebeam-fleet-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
         let known = event(1, engines, 0);
