--- a/dispatcher/tests/soak/judge_tests.rs
+++ b/dispatcher/tests/soak/judge_tests.rs
@@ -116,6 +116,11 @@
     let mut sent_on = closed(20 * MILLI, true);
     sent_on.push(begun(30 * MILLI, 1));
     assert_eq!(broken(sent_on), [Rule::Answered]);
+    let long_ago = vec![
+        (0, Seen::Killed { dispatcher: 0 }),
+        (300 * MILLI, taken(true).1),
+    ];
+    assert_eq!(broken(long_ago), [Rule::Answered]);
     let other = vec![taken(true), (2, Seen::Killed { dispatcher: 1 })];
     assert_eq!(broken(other), [Rule::Answered]);
 }
