--- a/dispatcher/src/admin.rs
+++ b/dispatcher/src/admin.rs
@@ -16,6 +16,7 @@
 use futures::{SinkExt, StreamExt};
 use miniserde::{Deserialize, Serialize, json};
 use sedgebeam_port::{Asked, Denied, Desk, Target, supervise};
+use sedgebeam_sockets::{Stream, without_delay};
 use std::io;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -192,8 +193,8 @@
 }
 
 async fn connection(stream: TcpStream, desk: Desk) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut wire = Framed::new(stream, Http);
+    without_delay(&stream);
+    let mut wire = Framed::new(Stream::new(stream), Http);
     while let Some(call) = timeout(IDLE, wire.next()).await.map_err(io::Error::other)? {
         let told = match call {
             Ok(call) => {
