--- a/broker/src/engines.rs
+++ b/broker/src/engines.rs
@@ -8,7 +8,7 @@
     AttemptNo, CellId, Engine, EngineId, EngineState, Event, Key, ListKind, Load, Micros, Outcome,
     RequestId,
 };
-use sedgebeam_port::{Listing, Probe, Reports, Resting, Target, ToEngine};
+use sedgebeam_port::{Engines, Listing, Probe, Reports, Resting, Target, ToEngine};
 use sedgebeam_settings::micros;
 use std::collections::HashSet;
 use tokio::time::Instant;
@@ -41,11 +41,12 @@
     pub fn post(
         &mut self,
         message: ToEngine,
-        start: impl FnOnce(&Target) -> EngineBox,
+        world: &dyn Engines,
+        reports: impl FnOnce() -> Reports,
     ) -> Option<EngineBox> {
         let target = &self.target;
         let actor = self.actor.get_or_insert_with(|| Actor {
-            mailbox: start(target),
+            mailbox: world.start(target, reports()),
             told: 0,
         });
         actor.mailbox.try_send(message).ok()?;
@@ -96,12 +97,9 @@
 
 impl Broker {
     pub(super) fn probe(&mut self, engine: EngineId) {
-        let start = |target: &Target| {
-            self.world
-                .start(target, Reports::new(engine, self.own.clone()))
-        };
+        let reports = || Reports::new(engine, self.own.clone());
         let known = self.engines.get_mut(&engine);
-        let asked = known.and_then(|known| known.post(ToEngine::Probe, start));
+        let asked = known.and_then(|known| known.post(ToEngine::Probe, &*self.world, reports));
         if asked.is_none() {
             self.events
                 .push(Event::Probed(engine, Outcome::ConnectFailed, None));
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -22,7 +22,7 @@
 use sedgebeam_port::clock::{Clock, duration, span};
 use sedgebeam_port::{
     Answer, Attempt, BEAT, BrokerBox, Delivery, End, EngineBox, Engines, Failure, Listing,
-    NewRequest, Page, Report, Reports, Target, ToBroker, ToEngine, memory_grant,
+    NewRequest, Page, Report, Reports, ToBroker, ToEngine, memory_grant,
 };
 use sedgebeam_retune::Tuning;
 use sedgebeam_settings::Names;
@@ -590,8 +590,8 @@
             }),
         };
         let cancelled = attempt.cancelled.clone();
-        let start = |target: &Target| self.world.start(target, Reports::new(to, self.own.clone()));
-        let Some(mailbox) = known.post(ToEngine::Send(attempt), start) else {
+        let reports = || Reports::new(to, self.own.clone());
+        let Some(mailbox) = known.post(ToEngine::Send(attempt), &*self.world, reports) else {
             return self.not_sent(id, to, Outcome::ConnectFailed, now);
         };
         open.attempts.push(Some(Out {
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use bytes::Bytes;
 use sedgebeam_core::{ClassId, GroupId};
-use sedgebeam_port::Resting;
+use sedgebeam_port::{Resting, Target};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
--- a/dispatcher/src/serve/listeners.rs
+++ b/dispatcher/src/serve/listeners.rs
@@ -11,13 +11,9 @@
 use sedgebeam_sockets::listen;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
-
-/// Time between two tries for an address that another process has.
-const BIND_RETRY: Duration = Duration::from_millis(100);
+use tokio::time::Instant;
 
 /// The opening of a listener.
 type Opening = BoxFuture<'static, io::Result<()>>;
@@ -26,9 +22,8 @@
 async fn bind(address: SocketAddr, wait_for_other: bool) -> io::Result<TcpListener> {
     loop {
         match listen(address).await {
-            Err(error) if wait_for_other && error.kind() == io::ErrorKind::AddrInUse => {
-                sleep(BIND_RETRY).await;
-            }
+            // It has been tried for a while, with pauses.
+            Err(error) if wait_for_other && error.kind() == io::ErrorKind::AddrInUse => {}
             bound => return bound,
         }
     }
--- a/dispatcher/tests/faults/shim.c
+++ b/dispatcher/tests/faults/shim.c
@@ -99,40 +99,28 @@
     return REAL(setsockopt)(fd, level, name, value, size);
 }
 
+/* Whether a call on this socket is to move one byte; below 0 where it fails, with its error set. */
+static int moves_one(int call, int fd) {
+    int error = is_tcp(fd) ? fault(call) : 0;
+    if (error > 0) errno = error;
+    return error > 0 ? -1 : error < 0;
+}
+
 ssize_t recv(int fd, void *bytes, size_t size, int flags) {
-    if (is_tcp(fd) && size && !(flags & MSG_PEEK)) {
-        int error = fault(RECV);
-        if (error > 0) {
-            errno = error;
-            return -1;
-        }
-        if (error) size = 1;
-    }
-    return REAL(recv)(fd, bytes, size, flags);
+    int one = size && !(flags & MSG_PEEK) ? moves_one(RECV, fd) : 0;
+    return one < 0 ? -1 : REAL(recv)(fd, bytes, one ? 1 : size, flags);
 }
 
 ssize_t send(int fd, const void *bytes, size_t size, int flags) {
-    if (is_tcp(fd) && size) {
-        int error = fault(SEND);
-        if (error > 0) {
-            errno = error;
-            return -1;
-        }
-        if (error) size = 1;
-    }
-    return REAL(send)(fd, bytes, size, flags);
+    int one = size ? moves_one(SEND, fd) : 0;
+    return one < 0 ? -1 : REAL(send)(fd, bytes, one ? 1 : size, flags);
 }
 
 ssize_t writev(int fd, const struct iovec *parts, int count) {
-    if (is_tcp(fd)) {
-        int error = fault(SEND);
-        if (error > 0) {
-            errno = error;
-            return -1;
-        }
-        for (int i = 0; error && i < count; i++)
-            if (parts[i].iov_len) return REAL(send)(fd, parts[i].iov_base, 1, MSG_NOSIGNAL);
-    }
+    int one = moves_one(SEND, fd);
+    if (one < 0) return -1;
+    for (int i = 0; one && i < count; i++)
+        if (parts[i].iov_len) return REAL(send)(fd, parts[i].iov_base, 1, MSG_NOSIGNAL);
     return REAL(writev)(fd, parts, count);
 }
 
--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -162,9 +162,7 @@
         let ToBroker::Submit(_, reply) = front.told().await else {
             panic!("no request")
         };
-        let mut said = 16u32.to_be_bytes().to_vec();
-        said.extend(80_877_102u32.to_be_bytes());
-        said.extend(7u64.to_be_bytes());
+        let said = sedgebeam_lab::wire::cancel(&7u64.to_be_bytes());
         let (client, server) = pair(&said).await;
         let shared = front.serving.shared.clone();
         let away = pg::turn_away(server, &shared, pg::Away::NoPlace);
--- a/dispatcher/tests/scenarios/pg_client.rs
+++ b/dispatcher/tests/scenarios/pg_client.rs
@@ -63,9 +63,7 @@
             "close" => return,
             "cancel" => {
                 let mut other = TcpStream::connect(&address).await.expect("connects");
-                let mut bytes = 16u32.to_be_bytes().to_vec();
-                bytes.extend(80_877_102u32.to_be_bytes());
-                bytes.extend(&key);
+                let bytes = sedgebeam_lab::wire::cancel(&key);
                 other.write_all(&bytes).await.expect("writes");
             }
             words => write.write_all(&said(words)).await.expect("writes"),
--- a/dispatcher/tests/soak/clients.rs
+++ b/dispatcher/tests/soak/clients.rs
@@ -261,9 +261,7 @@
     /// Goes without its answers: closes, or cancels and closes half a second later.
     async fn leave(&mut self, session: Session, open: &VecDeque<Request>, cancels: bool) {
         if cancels && let Ok(peer) = session.stream.peer_addr() {
-            let mut bytes = 16u32.to_be_bytes().to_vec();
-            bytes.extend(80_877_102u32.to_be_bytes());
-            bytes.extend(&session.key);
+            let bytes = wire::cancel(&session.key);
             if let Ok(mut other) = TcpStream::connect(peer).await
                 && other.write_all(&bytes).await.is_ok()
             {
--- a/dispatcher/tests/soak/main.rs
+++ b/dispatcher/tests/soak/main.rs
@@ -42,6 +42,24 @@
 /// Mean work of a request, by how often each class is asked for.
 const MEAN_WORK_MS: f64 = 0.68 * 80.0 + 0.32 * 2_000.0;
 
+const EINTR: i32 = 4;
+const ENFILE: i32 = 23;
+const EADDRNOTAVAIL: i32 = 99;
+const ECONNABORTED: i32 = 103;
+const ENOBUFS: i32 = 105;
+
+/// System calls that fail or do a part: of which each how many-th.
+const FAILURES: [(Call, i32, Fault); 8] = [
+    (Call::Recv, 1, Fault::Short),
+    (Call::Send, 1, Fault::Short),
+    (Call::Recv, 3, Fault::Error(EINTR)),
+    (Call::Send, 3, Fault::Error(EINTR)),
+    (Call::Accept, 2, Fault::Error(ENFILE)),
+    (Call::Accept, 2, Fault::Error(ECONNABORTED)),
+    (Call::Connect, 2, Fault::Error(EADDRNOTAVAIL)),
+    (Call::SetSockOpt, 1, Fault::Error(ENOBUFS)),
+];
+
 fn settings(dispatchers: usize, longest: Time) -> String {
     let give_up = longest / MILLI;
     let grace = GRACE.as_millis();
@@ -69,12 +87,15 @@
 }
 
 /// The longest time for which this machine kept a thread of the run from going on.
-struct Stall(Arc<AtomicU64>, Arc<AtomicBool>);
+struct Stall {
+    longest: Arc<AtomicU64>,
+    over: Arc<AtomicBool>,
+}
 
 impl Stall {
-    fn watch(over: Arc<AtomicBool>) -> Stall {
+    fn watch() -> Stall {
         const BEAT: Duration = Duration::from_millis(5);
-        let longest = Arc::new(AtomicU64::new(0));
+        let (longest, over) = (Arc::<AtomicU64>::default(), Arc::<AtomicBool>::default());
         let (told, done) = (longest.clone(), over.clone());
         std::thread::spawn(move || {
             while !done.load(Ordering::Relaxed) {
@@ -84,17 +105,17 @@
                 told.fetch_max(late, Ordering::Relaxed);
             }
         });
-        Stall(longest, over)
+        Stall { longest, over }
     }
 
     fn longest(&self) -> Time {
-        self.0.load(Ordering::Relaxed)
+        self.longest.load(Ordering::Relaxed)
     }
 }
 
 impl Drop for Stall {
     fn drop(&mut self) {
-        self.1.store(true, Ordering::Relaxed);
+        self.over.store(true, Ordering::Relaxed);
     }
 }
 
@@ -324,56 +345,21 @@
         self.tasks.push(tokio::spawn(crowd(place, count, over)));
     }
 
-    /// System calls of one dispatcher fail, or do a part, for a moment.
+    /// System calls of one dispatcher fail, or do a part, for a moment; or its wall clock is stepped for as long.
     async fn fail_calls(&mut self) {
-        const EINTR: i32 = 4;
-        const ENFILE: i32 = 23;
-        const EADDRNOTAVAIL: i32 = 99;
-        const ECONNABORTED: i32 = 103;
-        const ENOBUFS: i32 = 105;
         const HOUR: i32 = 3_600;
         self.disturb();
         let number = self.one_dispatcher();
-        let (kind, time) = (self.draws.below(9), self.draws.millis(200, 800));
+        let kind = self.draws.below(FAILURES.len() as u64 + 1) as usize;
+        let time = self.draws.millis(200, 800);
         let faults = &self.dispatchers[number].faults;
-        let call = match kind {
-            0 => {
-                faults.always(Call::Recv, Fault::Short);
-                Call::Recv
-            }
-            1 => {
-                faults.always(Call::Send, Fault::Short);
-                Call::Send
-            }
-            2 => {
-                faults.each(3, Call::Recv, Fault::Error(EINTR));
-                Call::Recv
-            }
-            3 => {
-                faults.each(3, Call::Send, Fault::Error(EINTR));
-                Call::Send
-            }
-            4 => {
-                faults.each(2, Call::Accept, Fault::Error(ENFILE));
-                Call::Accept
-            }
-            5 => {
-                faults.each(2, Call::Accept, Fault::Error(ECONNABORTED));
-                Call::Accept
-            }
-            6 => {
-                faults.each(2, Call::Connect, Fault::Error(EADDRNOTAVAIL));
-                Call::Connect
-            }
-            7 => {
-                faults.always(Call::SetSockOpt, Fault::Error(ENOBUFS));
-                Call::SetSockOpt
-            }
-            _ => {
-                let hour = if self.draws.percent(50) { HOUR } else { -HOUR };
-                faults.step_wall_clock(hour);
-                Call::WallClock
-            }
+        let call = if let Some((call, every, fault)) = FAILURES.get(kind) {
+            faults.each(*every, *call, *fault);
+            *call
+        } else {
+            let hour = if self.draws.percent(50) { HOUR } else { -HOUR };
+            faults.step_wall_clock(hour);
+            Call::WallClock
         };
         sleep(time).await;
         self.dispatchers[number].faults.end(call);
@@ -390,7 +376,7 @@
 
     /// Plays so many troubles; what was broken, and how many requests there were.
     async fn play(mut self, troubles: usize) -> (Vec<Violation>, Counts) {
-        let stall = Stall::watch(Arc::default());
+        let stall = Stall::watch();
         for number in 0..self.dispatchers.len() {
             self.start(number).await;
         }
--- a/dispatcher/tests/soak/world.rs
+++ b/dispatcher/tests/soak/world.rs
@@ -281,11 +281,10 @@
 }
 
 fn array(words: &[&str]) -> Vec<u8> {
-    let mut text = format!("*{}\r\n", words.len());
-    for word in words {
-        text.push_str(&format!("${}\r\n{word}\r\n", word.len()));
-    }
-    text.into_bytes()
+    let words: Vec<&[u8]> = words.iter().map(|word| word.as_bytes()).collect();
+    let mut bytes = bytes::BytesMut::new();
+    wire::put_array(&mut bytes, &words);
+    bytes.to_vec()
 }
 
 /// What a change log has told so far, and how it behaves.
--- a/engines/src/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -93,33 +93,39 @@
     }
 }
 
+fn hex(id: RequestId) -> String {
+    format!("{:016x}", id.0)
+}
+
+/// Writes the command that begins an attempt, with the time that is left for it now.
+pub fn put_fetch(bytes: &mut BytesMut, attempt: &Attempt) {
+    let wait = attempt.millis_left();
+    let mut fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
+    if let Some(memory_mb) = attempt.memory_grant_mb {
+        fields.push_str(&format!(",grant={memory_mb}"));
+    }
+    for (name, word) in attempt.words() {
+        fields.push_str(&format!(",{name}={word}"));
+    }
+    let id = hex(attempt.request);
+    put(
+        bytes,
+        &[
+            b"fetch",
+            id.as_bytes(),
+            fields.as_bytes(),
+            &attempt.statement,
+        ],
+    );
+}
+
 impl Encoder<Command> for Resp {
     type Error = io::Error;
 
     fn encode(&mut self, command: Command, bytes: &mut BytesMut) -> io::Result<()> {
-        let hex = |id: RequestId| format!("{:016x}", id.0);
         let tag = |tag: u64| format!("{TAG}{tag}");
         match command {
-            Command::Fetch(attempt) => {
-                let wait = attempt.millis_left();
-                let mut fields = format!("kind={},ms={wait},rank={}", attempt.class, attempt.rank);
-                if let Some(memory_mb) = attempt.memory_grant_mb {
-                    fields.push_str(&format!(",grant={memory_mb}"));
-                }
-                for (name, word) in attempt.words() {
-                    fields.push_str(&format!(",{name}={word}"));
-                }
-                let id = hex(attempt.request);
-                put(
-                    bytes,
-                    &[
-                        b"fetch",
-                        id.as_bytes(),
-                        fields.as_bytes(),
-                        &attempt.statement,
-                    ],
-                );
-            }
+            Command::Fetch(attempt) => put_fetch(bytes, &attempt),
             Command::Abort(id) => put(bytes, &[b"abort", hex(id).as_bytes()]),
             Command::Renice(id, rank) => {
                 put(
--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -229,7 +229,7 @@
             let withdrawn = outgoing.withdraw();
             let mut written = Written::default();
             if writable && outgoing.len() > 0 {
-                match half.try_write_vectored(&outgoing.slices()?) {
+                match half.try_write_vectored(&outgoing.slices()) {
                     Ok(count) => written = outgoing.written(count),
                     Err(error) if is_to_be_repeated(&error) => {}
                     Err(error) => return Err(error),
--- a/engines/src/resp/outgoing.rs
+++ b/engines/src/resp/outgoing.rs
@@ -4,7 +4,7 @@
 //! Guards against an engine that reads nothing for a while: what waited would be written long after its client had left,
 //! its attempt had been given up, or the engine had been told of as draining.
 
-use super::codec::{Command, Resp};
+use super::codec::{Command, Resp, put_fetch};
 use bytes::{Buf, Bytes, BytesMut};
 use sedgebeam_core::{AttemptNo, RequestId};
 use sedgebeam_port::Attempt;
@@ -19,7 +19,7 @@
 pub type Named = (RequestId, AttemptNo);
 
 struct Frame {
-    /// What is left to be written; of an attempt that has not begun, as it was last offered to the socket.
+    /// What is left to be written; of an attempt that has not begun, as it was last offered to the socket, if it was.
     bytes: Bytes,
     /// The attempt that it begins, while none of it is written.
     begins: Option<Attempt>,
@@ -47,22 +47,27 @@
     }
 
     pub fn push(&mut self, command: Command) -> io::Result<()> {
-        let begins = match &command {
-            Command::Fetch(attempt) => Some(attempt.clone()),
-            _ => None,
+        let mut frame = Frame {
+            bytes: Bytes::new(),
+            begins: None,
+            aborts: None,
         };
-        let aborts = match &command {
-            Command::Abort(id) => Some(*id),
-            _ => None,
-        };
-        let bytes = encoded(command)?;
-        if !bytes.is_empty() {
-            self.frames.push_back(Frame {
-                bytes,
-                begins,
-                aborts,
-            });
+        match command {
+            // Encoded once it is offered to the socket: the time that is left is told then.
+            Command::Fetch(attempt) => frame.begins = Some(attempt),
+            command => {
+                if let Command::Abort(id) = &command {
+                    frame.aborts = Some(*id);
+                }
+                let mut bytes = BytesMut::new();
+                Resp.encode(command, &mut bytes)?;
+                if bytes.is_empty() {
+                    return Ok(());
+                }
+                frame.bytes = bytes.freeze();
+            }
         }
+        self.frames.push_back(frame);
         Ok(())
     }
 
@@ -80,14 +85,17 @@
     }
 
     /// What is to be written next, in pieces. An attempt of which nothing is written yet names the time that is left now.
-    pub fn slices(&mut self) -> io::Result<Vec<IoSlice<'_>>> {
-        for frame in self.frames.iter_mut().take(MOST_AT_ONCE) {
+    pub fn slices(&mut self) -> Vec<IoSlice<'_>> {
+        let frames = self.frames.iter_mut().take(MOST_AT_ONCE);
+        let slices = frames.map(|frame| {
             if let Some(attempt) = &frame.begins {
-                frame.bytes = encoded(Command::Fetch(attempt.clone()))?;
+                let mut bytes = BytesMut::new();
+                put_fetch(&mut bytes, attempt);
+                frame.bytes = bytes.freeze();
             }
-        }
-        let frames = self.frames.iter().take(MOST_AT_ONCE);
-        Ok(frames.map(|frame| IoSlice::new(&frame.bytes)).collect())
+            IoSlice::new(&frame.bytes)
+        });
+        slices.collect()
     }
 
     /// So many bytes have been written.
@@ -115,11 +123,5 @@
     }
 }
 
-fn encoded(command: Command) -> io::Result<Bytes> {
-    let mut bytes = BytesMut::new();
-    Resp.encode(command, &mut bytes)?;
-    Ok(bytes.freeze())
-}
-
 #[cfg(test)]
 mod tests;
--- a/engines/src/resp/outgoing/tests.rs
+++ b/engines/src/resp/outgoing/tests.rs
@@ -23,7 +23,7 @@
 
 /// All that is to be written, as text.
 fn text(outgoing: &mut Outgoing) -> String {
-    let slices = outgoing.slices().expect("is encoded");
+    let slices = outgoing.slices();
     let bytes: Vec<u8> = slices.iter().flat_map(|slice| slice.to_vec()).collect();
     String::from_utf8_lossy(&bytes).into_owned()
 }
--- a/fronts/src/pg/inbox.rs
+++ b/fronts/src/pg/inbox.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 /// Messages that a client may have sent ahead of the answer to an earlier one.
-pub const MOST_HELD: usize = 64;
+const MOST_HELD: usize = 64;
 
 /// A message, and when its last byte was read.
 #[derive(Debug)]
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -272,14 +272,14 @@
         Ok(said.map(Heard::now))
     }
 
-    /// Reads what the client says into the inbox; ready once nothing more can come of it: `true` where it has gone.
-    fn poll_inbox(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+    /// Reads what the client says into the inbox; ready once it has gone.
+    fn poll_inbox(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
             match Pin::new(&mut self.wire).poll_next(context) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(Ok(Said::Terminate)) | None) => {
                     self.gone = true;
-                    return Poll::Ready(Ok(true));
+                    return Poll::Ready(Ok(()));
                 }
                 Poll::Ready(Some(said)) => self.inbox.keep(said?)?,
             }
@@ -293,7 +293,7 @@
             if let Poll::Ready(done) = awaited.as_mut().poll(context) {
                 return Poll::Ready(Ok(Some(done)));
             }
-            self.poll_inbox(context).map_ok(|_gone| None)
+            self.poll_inbox(context).map_ok(|()| None)
         })
         .await
     }
--- a/lab/src/wire.rs
+++ b/lab/src/wire.rs
@@ -23,6 +23,15 @@
     bytes
 }
 
+/// A request, on a connection of its own, to cancel what the session of this key has under way.
+pub fn cancel(key: &[u8]) -> BytesMut {
+    let mut bytes = BytesMut::new();
+    bytes.put_u32(8 + key.len() as u32);
+    bytes.put_u32(80_877_102);
+    bytes.put_slice(key);
+    bytes
+}
+
 fn spoilt(why: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
