Force listeners with hundreds of waiting clients, and a connect whose first packet is lost

Cause: of 300 followers that came to one log at once, the test of faults counted 911 connections where 900 are allowed, once. The queue of tokio's listeners holds 128. What is dropped there is sent again by the system after one second, which is when the follower gives up: whether the connection then still comes about, with nobody at its end, is chance, and counts as one more.

The log of the test has a queue for all its followers; its bounds are as they were.

--- a/dispatcher/tests/followers.rs
+++ b/dispatcher/tests/followers.rs
@@ -1,5 +1,6 @@
 //! Three hundred followers of one change log, on real sockets: it breaks off for all, moves, is away, and repeats,
-//! cuts and leaves out what it tells. Their lists are those of the log in the end, and few whole lists are had.
+//! cuts and leaves out what it tells. Their lists are those of the log in the end, and few whole lists are had. And one
+//! follower of a log that is too crowded to take its connection at once.
 
 use sedgebeam::roster::{self, Reached};
 use sedgebeam_operation::Figures;
@@ -11,7 +12,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 
 const FOLLOWERS: u32 = 300;
@@ -54,9 +55,18 @@
     format!(r#"{{"seq":{seq},"fleet":{{"rev":{seq},"all":{all},"targets":[{targets}]}}}}"#)
 }
 
+/// A listener at which this many connections can wait to be accepted.
+fn listener(queue: u32) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let address = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(address).expect("a port");
+    socket.listen(queue).expect("listens")
+}
+
 impl Log {
     async fn start(last: u64, fault: Fault, at: u64) -> Arc<Log> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        // All followers may come at one moment: a full queue would be a fault of its own.
+        let listener = listener(2 * FOLLOWERS);
         let log = Arc::new(Log {
             address: listener.local_addr().expect("an address"),
             last: watch::channel(last).0,
@@ -248,3 +258,40 @@
         assert_eq!(second.whole.load(Ordering::Relaxed), 0);
     });
 }
+
+/// The local ports from which connections to this port are being made: the system's table has them as SYN_SENT.
+fn connecting_to(port: u16) -> Vec<u16> {
+    const SYN_SENT: &str = "02";
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+    let remote = format!(":{port:04X}");
+    let rows = table.lines().map(|row| row.split_whitespace().collect());
+    let rows = rows.filter(|row: &Vec<&str>| row[2].ends_with(&remote) && row[3] == SYN_SENT);
+    let ports = rows.filter_map(|row| row[1].split_once(':'));
+    ports
+        .map(|(_, port)| u16::from_str_radix(port, 16).expect("a port"))
+        .collect()
+}
+
+/// The first packet of a connect is lost where the log has no room for it, and the system sends it again after a second.
+/// A follower that gives up before then adds a connection that nobody uses to what crowds the log.
+#[test]
+fn a_connect_whose_first_packet_is_lost_is_waited_for() {
+    run(async {
+        let log = listener(0);
+        let address = log.local_addr().expect("an address");
+        let _fills_the_queue = TcpStream::connect(address).await.expect("connects");
+        let desk = Desk::new(1, 0, Figures::default(), Tuning::default());
+        let (_address, changes) = watch::channel(Some(address));
+        let (reached, _heard) = watch::channel(Reached::default());
+        tokio::spawn(roster::follow(changes, reached, desk, Pauses::new(1, 1)));
+        let port = loop {
+            if let [port] = connecting_to(address.port())[..] {
+                break port;
+            }
+            tokio::task::yield_now().await;
+        };
+        log.accept().await.expect("the one that filled the queue");
+        let (_stream, peer) = log.accept().await.expect("the follower");
+        assert_eq!(peer.port(), port, "not the connect that met a full queue");
+    });
+}
