--- a/dispatcher/src/roster.rs
+++ b/dispatcher/src/roster.rs
@@ -59,7 +59,8 @@
 /// What the change log has to tell of the time before it writes at once: after so long without an event, that
 /// was all.
 const CAUGHT_UP: Duration = Duration::from_millis(150);
-const CONNECT: Duration = Duration::from_millis(1000);
+/// A connect may take so long: the system sends a first packet that got lost again after one second (RFC 6298, 2.1).
+const CONNECT: Duration = Duration::from_millis(1500);
 
 /// Folds the changes up to the start into the list that they leave.
 pub fn fold(changes: Vec<Change>) -> Vec<Target> {
