Force a change log that pauses within its whole list

Cause: a log that says nothing for 150 ms is taken to have said all that it has. A follower that had asked for the whole list after a gap then tells the part that came so far as the list, though it is older than what was told before: engines that drain or are gone get attempts again. The drawn test knew such pauses and let them pass.

Change in tests: the drawn test has the follower see its pauses; the other held that a log which stops at change 1 is believed to have lost changes 2 to 5.

--- a/roster/tests/follow.rs
+++ b/roster/tests/follow.rs
@@ -51,7 +51,7 @@
     Twice,
     /// The connection ends before it.
     Cut,
-    /// Nothing comes for a while: all that the log had has been said.
+    /// Nothing comes for a while before it: the log is slow, or had said all that it had.
     Quiet,
 }
 
@@ -103,7 +103,12 @@
             'connection: while at < last {
                 at += 1;
                 let (listing, targets) = log.events[at as usize - 1].clone();
-                let times = match ways.pop().unwrap_or(Way::Comes) {
+                let way = ways.pop().unwrap_or(Way::Comes);
+                if matches!(way, Way::Quiet) {
+                    let next = follower.quiet();
+                    told.tell(&mut follower, next, &log);
+                }
+                let times = match way {
                     Way::Comes | Way::Quiet => 1,
                     Way::Lost => 0,
                     Way::Twice => 2,
@@ -153,7 +158,7 @@
     let next = hear(&mut follower, 4);
     told.tell(&mut follower, next, &log);
     assert_eq!((told.seq, follower.asks_after()), (4, 4));
-    // A log that has lost what it told once is believed when it has said all that it has.
+    // A log that pauses in the middle of its whole list is not believed to have lost what it told once.
     assert_eq!(
         hear(&mut follower, 5),
         Next::Tell(5, Listing::Changes, event(5).1)
@@ -166,10 +171,22 @@
     );
     assert_eq!(follower.asks_after(), 0);
     assert_eq!(follower.quiet(), Next::Nothing);
-    assert_eq!(hear(&mut follower, 1), Next::Nothing);
+    for seq in 1..=5 {
+        assert_eq!(hear(&mut follower, seq), Next::Nothing);
+        assert_eq!(
+            follower.quiet(),
+            Next::Nothing,
+            "no newer than what was told"
+        );
+    }
+    // What it has beyond that is all there is, though more was heard of.
+    assert_eq!(
+        follower.hear(6, Listing::Changes, Vec::new()),
+        Next::Nothing
+    );
     assert!(matches!(
         follower.quiet(),
-        Next::Tell(1, Listing::Complete, _)
+        Next::Tell(6, Listing::Complete, _)
     ));
 }
 
