Tell no list of a slow change log that is older than what was told

Change: a list that is being had again is told at a pause only where it is newer than what was told.

--- a/roster/src/follow.rs
+++ b/roster/src/follow.rs
@@ -148,14 +148,18 @@
         Next::Again
     }
 
-    /// The log has said all that it has. A whole list that lacks what was heard of before is all there is: the log has
-    /// lost it.
+    /// The log says nothing for a while: it has said all that it has, or is slow. A list that is being had again is told
+    /// as far as it came, though it lacks what was heard of before, but only where it is newer than what was told.
     pub fn quiet(&mut self) -> Next {
-        let whole = self.rebuild.as_ref();
-        let whole = whole.and_then(|rebuild| Some((rebuild.reached?, rebuild.list.clone())));
-        whole.map_or(Next::Nothing, |(seq, list)| {
-            Next::Tell(seq, Listing::Complete, list)
-        })
+        let Some(rebuild) = &self.rebuild else {
+            return Next::Nothing;
+        };
+        match rebuild.reached {
+            Some(seq) if seq > self.reached => {
+                Next::Tell(seq, Listing::Complete, rebuild.list.clone())
+            }
+            _ => Next::Nothing,
+        }
     }
 
     /// What was to be told has been told.
