Force a step of the wall clock between two processes, and a folder that is full at first

Two processes of one dispatcher are told apart by the Unix times of their starts, what they tell is refused where its Unix time is over two seconds off, and the times in it (work sent to cold engines, rests) are Unix times of a clock that each process fixed at its own start: after a step between the two starts they are an hour off. A process that can't create its file when it starts serves as if alone for good.

Change: tests on the program itself; creating files joins the system calls that can be made to fail.

--- a/dispatcher/tests/faults/mod.rs
+++ b/dispatcher/tests/faults/mod.rs
@@ -23,9 +23,11 @@
     Recv,
     Send,
     WallClock,
+    /// Opening a file that is created.
+    Create,
 }
 
-const CALLS: usize = 9;
+const CALLS: usize = 10;
 const RECORD: u64 = 16;
 const COUNT_AT: u64 = 12;
 /// The error of a call that moves one byte.
--- a/dispatcher/tests/faults/shim.c
+++ b/dispatcher/tests/faults/shim.c
@@ -13,6 +13,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <stdarg.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <sys/mman.h>
@@ -21,7 +22,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { SOCKET, BIND, LISTEN, ACCEPT, CONNECT, SETSOCKOPT, RECV, SEND, CLOCK, CALLS };
+enum { SOCKET, BIND, LISTEN, ACCEPT, CONNECT, SETSOCKOPT, RECV, SEND, CLOCK, CREATE, CALLS };
 
 struct record {
     _Atomic int error, every, left, count;
@@ -124,6 +125,19 @@
     return REAL(writev)(fd, parts, count);
 }
 
+/* Files that are created; others are opened as ever. */
+int open64(const char *path, int flags, ...) {
+    mode_t mode = 0;
+    if (flags & O_CREAT) {
+        va_list rest;
+        va_start(rest, flags);
+        mode = va_arg(rest, mode_t);
+        va_end(rest);
+        FAIL(CREATE);
+    }
+    return REAL(open64)(path, flags, mode);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *now) {
     int told = REAL(clock_gettime)(clock, now);
     if (!told && clock == CLOCK_REALTIME) now->tv_sec += atomic_load(&records[CLOCK].error);
--- a/dispatcher/tests/under_load.rs
+++ b/dispatcher/tests/under_load.rs
@@ -2,6 +2,10 @@
 //! stopped or ended at a step drawn from a seed. Drains: clients are sent away and come back. No request may be lost but
 //! those that a killed process held.
 
+#[path = "faults/mod.rs"]
+mod faults;
+
+use faults::{Call, Fault, Faults};
 use sedgebeam_lab::{engine, wire};
 use std::io;
 use std::net::{SocketAddr, TcpListener as Bound};
@@ -218,6 +222,11 @@
 
     /// Starts a process with the socket as descriptor 7.
     fn start(&self) -> Process {
+        self.start_with(&Faults::none())
+    }
+
+    /// The same, with faults of system calls.
+    fn start_with(&self, faults: &Faults) -> Process {
         let socket = OwnedFd::from(self.socket.try_clone().expect("a copy"));
         let mut child = Command::new("sh")
             .args(["-c", r#"exec 7<&0; exec "$0" serve"#])
@@ -228,6 +237,7 @@
             .env("PROXY_PASSED_SOCKET", "7")
             .env("TMPDIR", &self.folder)
             .env_remove("PROXY_LISTEN")
+            .envs(faults.environment())
             .env("SEDGEBEAM_LOG", "info")
             .stdin(Stdio::from(socket))
             .stderr(Stdio::piped())
@@ -258,12 +268,19 @@
 impl Process {
     /// Waits for a line of the log that holds the words; what stands behind them.
     async fn logged(&mut self, words: &str) -> String {
+        self.logged_one_of(&[words]).await.1
+    }
+
+    /// Waits for a line of the log that holds any of these words; which, and what stands behind them.
+    async fn logged_one_of<'words>(&mut self, any: &[&'words str]) -> (&'words str, String) {
         loop {
             let line = timeout(HANGS, self.log.recv()).await;
-            let line = line.unwrap_or_else(|_| panic!("the log never said {words:?}"));
-            let line = line.unwrap_or_else(|| panic!("the log ended before {words:?}"));
-            if let Some((_, rest)) = line.split_once(words) {
-                return rest.trim().to_string();
+            let line = line.unwrap_or_else(|_| panic!("the log never said {any:?}"));
+            let line = line.unwrap_or_else(|| panic!("the log ended before {any:?}"));
+            for words in any {
+                if let Some((_, rest)) = line.split_once(words) {
+                    return (words, rest.trim().to_string());
+                }
             }
         }
     }
@@ -412,13 +429,15 @@
     );
 }
 
-fn run(number: u64, seeds: std::ops::Range<u64>) {
+fn inside(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    runtime
-        .expect("a runtime")
-        .block_on(upgrades(number, seeds));
+    runtime.expect("a runtime").block_on(test);
+}
+
+fn run(number: u64, seeds: std::ops::Range<u64>) {
+    inside(upgrades(number, seeds));
 }
 
 #[test]
@@ -443,10 +462,7 @@
 
 #[test]
 fn drains_lose_no_request_and_every_kept_connection_goes() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    runtime.expect("a runtime").block_on(async {
+    inside(async {
         let Field {
             platform,
             seen,
@@ -479,13 +495,59 @@
     });
 }
 
+/// Starts a process, and then another with these faults; whether that began with what the first one knew.
+async fn second_begins_with_what_the_first_knew(platform: &Platform, faults: &Faults) -> bool {
+    let mut first = platform.start();
+    first.ready().await;
+    let mut second = platform.start_with(faults);
+    let words = [
+        "begun with what the process before it knew",
+        "serves PostgreSQL clients",
+    ];
+    let (said, _) = second.logged_one_of(&words).await;
+    second.signal("-TERM");
+    assert_eq!(second.ended().await, Some(0));
+    said == words[0]
+}
+
+/// Which of two processes came first, and how old is what the other tells, does not hang on the wall clock.
+#[test]
+fn a_step_of_the_wall_clock_between_two_processes_hides_neither_from_the_other() {
+    inside(async {
+        for step in [-3600, 3600] {
+            let Field { platform, .. } = Field::new(6).await;
+            let faults = Faults::none();
+            faults.step_wall_clock(step);
+            let handed_over = second_begins_with_what_the_first_knew(&platform, &faults).await;
+            assert!(handed_over, "stepped by {step} s");
+        }
+    });
+}
+
+/// A process that can't join its folder for a while is not alone for good.
+#[test]
+fn a_process_joins_its_folder_once_files_can_be_written_again() {
+    const ENOSPC: i32 = 28;
+    inside(async {
+        let Field { platform, .. } = Field::new(7).await;
+        let mut first = platform.start();
+        first.ready().await;
+        let faults = Faults::none();
+        faults.always(Call::Create, Fault::Error(ENOSPC));
+        let mut second = platform.start_with(&faults);
+        second.ready().await;
+        faults.end(Call::Create);
+        assert!(faults.injected(Call::Create) > 0);
+        let words = "2 processes serve as one dispatcher";
+        assert_eq!(first.logged(words).await, "");
+        assert_eq!(second.logged(words).await, "");
+    });
+}
+
 /// The checker itself: a dispatcher that takes a request and closes is caught, and one that is slow is not.
 #[test]
 fn a_dispatcher_that_drops_requests_is_caught() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    runtime.expect("a runtime").block_on(async {
+    inside(async {
         for drops in [true, false] {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
                 .await
