Tell two processes apart without the wall clock, and join a folder once it can be written

Change: a process's place in the order is a generation, one above all that it finds in the folder, with a drawn number for those that begin at one moment. What a process tells names those that it had found when it wrote: a reader that is named knows it for written since it came, whatever clocks say. After that it is believed for two seconds of the reader's own monotonic clock after its last change. Times in it come with the writer's clock and are moved to the reader's. Versions that go by the wall clock are read as before, and read this one. A process that can't join tries on; until it has, it counts as one of two that sends nothing to cold engines. A look that fails keeps those seen last, in a phase not known; a file that can't be opened or locked for a moment is no longer a sign that its process died. The folder has a module of its own.

By reading, not by a test: that a process which has not joined holds back from cold engines, and what looks that fail leave.

--- a/dispatcher/src/beside.rs
+++ b/dispatcher/src/beside.rs
@@ -1,22 +1,23 @@
-//! The files through which two processes of one dispatcher find each other and tell what they hold.
+//! Other processes of one dispatcher: what they hold is heard, and what this one holds is told to them.
 //!
-//! Each locks a file of its own for as long as it lives, however it dies; what one has left behind, the next
-//! to look removes. They look ten times a second, and write only while there is another.
+//! They look for one another ten times a second in a folder that they share, and write only while there is another.
 
-use sedgebeam_core::{Held, Tenant};
+mod folder;
+
+pub use folder::{Folder, Place};
+
+use folder::unix_now;
+use sedgebeam_core::{Held, Micros, Tenant};
 use sedgebeam_fronts::places::Places;
-use sedgebeam_handover::{Life, Pair, Phase, Share, Stated};
+use sedgebeam_handover::{Freshness, Life, Pair, Phase, Share, Stated};
 use sedgebeam_operation::Orders;
-use sedgebeam_port::clock::span;
+use sedgebeam_port::clock::Clock;
 use sedgebeam_port::{Asked, Desk};
-use std::fs::{DirBuilder, File, OpenOptions, TryLockError};
 use std::io;
-use std::os::unix::fs::DirBuilderExt;
-use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Time between two looks for others, drawn from so far below to so far above.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -24,142 +25,58 @@
 /// A process that starts waits so long for a share of the one that serves: three looks, and one to spare.
 const SHARE_WITHIN: Duration = Duration::from_millis(400);
 const SHARE_LOOK: Duration = Duration::from_millis(20);
+/// A process that can't join at once tries for so long before it starts without; it has to be ready within six seconds.
+const JOIN_WITHIN: Duration = Duration::from_millis(500);
 
-const LIVES: &str = "lives-";
-const TELLS: &str = "tells-";
-
-/// The folder that processes of one dispatcher share, and this process in it.
-pub struct Folder {
-    path: PathBuf,
-    own: Life,
-    name: String,
-    /// Locked until the process ends.
-    _lock: File,
-}
+/// What each other process that lives was seen to tell.
+type Seen = Vec<(Life, Option<Share>)>;
 
-fn unix_now() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    span(now.unwrap_or_default()).0
+/// This process among those of its dispatcher.
+pub enum Member {
+    Joined(Folder),
+    /// Its files can't be written yet: whether there are others is not known.
+    Waiting(Place),
 }
 
-impl Folder {
-    /// Makes this process known there; `name` is the dispatcher's.
-    pub fn join(parent: &Path, name: &str) -> io::Result<Folder> {
-        let path = parent.join("sedgebeam");
-        DirBuilder::new()
-            .recursive(true)
-            .mode(0o700)
-            .create(&path)?;
-        let own = Life {
-            began: unix_now(),
-            process: std::process::id(),
-        };
-        // Locked before it has its name: one without a lock is taken for that of a dead process.
-        let hidden = path.join(format!("new-{}", own.name()));
-        let lock = OpenOptions::new()
-            .write(true)
-            .create_new(true)
-            .open(&hidden)?;
-        lock.lock()?;
-        std::fs::rename(&hidden, path.join(format!("{LIVES}{}", own.name())))?;
-        Ok(Folder {
-            path,
-            own,
-            name: name.to_string(),
-            _lock: lock,
-        })
-    }
-
-    fn of(&self, kind: &str, life: Life) -> PathBuf {
-        self.path.join(format!("{kind}{}", life.name()))
-    }
-
-    /// The others that live.
-    fn others(&self) -> io::Result<Vec<Life>> {
-        let mut others = Vec::new();
-        for entry in std::fs::read_dir(&self.path)? {
-            let name = entry?.file_name();
-            let life = name.to_str().and_then(|name| name.strip_prefix(LIVES));
-            let life = life.and_then(Life::named).filter(|life| *life != self.own);
-            if let Some(life) = life
-                && self.lives(life)
-            {
-                others.push(life);
+impl Member {
+    /// Joins those that are there, and hears from the one that serves.
+    pub async fn join(place: Place) -> (Member, Option<Share>) {
+        match timeout(JOIN_WITHIN, place.join_at_last()).await {
+            Ok(folder) => {
+                let handed = handed(&folder).await;
+                (Member::Joined(folder), handed)
             }
+            Err(_) => (Member::Waiting(place), None),
         }
-        Ok(others)
     }
+}
 
-    /// Whether a process holds its lock; what is left of one that does not is removed.
-    fn lives(&self, life: Life) -> bool {
-        let path = self.of(LIVES, life);
-        // It may have been removed by another that looked.
-        let Ok(file) = File::open(&path) else {
-            return false;
-        };
-        if let Err(TryLockError::WouldBlock) = file.try_lock() {
-            return true;
+/// What the process that serves tells, where there is one.
+async fn handed(folder: &Folder) -> Option<Share> {
+    let until = Instant::now() + SHARE_WITHIN;
+    let mut pair = Pair::new(folder.own);
+    loop {
+        let seen = folder.see();
+        let alone = seen.as_ref().is_ok_and(Vec::is_empty);
+        if alone || Instant::now() >= until {
+            return None;
         }
-        for left in [path, self.of(TELLS, life)] {
-            if let Err(error) = std::fs::remove_file(&left) {
-                log::debug!("{}: {error}", left.display());
-            }
+        let seen = seen.unwrap_or_default();
+        pair.see(Phase::Starting, lives(&seen));
+        let heir = pair.heir_of();
+        let told = seen.into_iter().find(|(life, _)| Some(*life) == heir);
+        if let Some((_, Some(share))) = told {
+            return Some(share);
         }
-        false
-    }
-
-    /// What another tells.
-    fn read(&self, life: Life) -> Option<Share> {
-        let bytes = std::fs::read(self.of(TELLS, life)).ok()?;
-        let share = Share::decode(&bytes, &self.name, unix_now());
-        share
-            .inspect_err(|why| log::debug!("what {} tells: {why:?}", life.name()))
-            .ok()
-    }
-
-    /// Tells the others; whole, as it has its name only once it is written.
-    fn write(&self, share: &Share) -> io::Result<()> {
-        let hidden = self.of("new-", self.own);
-        std::fs::write(&hidden, share.encode())?;
-        std::fs::rename(&hidden, self.of(TELLS, self.own))
-    }
-
-    /// What the process that serves tells, where there is one.
-    pub async fn handed(&self) -> Option<Share> {
-        let until = Instant::now() + SHARE_WITHIN;
-        let mut pair = Pair::new(self.own);
-        loop {
-            let seen = self.see().unwrap_or_default();
-            let lives = seen
-                .iter()
-                .map(|(life, share)| (*life, phase(share.as_ref())));
-            pair.see(Phase::Starting, lives.collect());
-            if pair.parts() == 1 || Instant::now() >= until {
-                return None;
-            }
-            let heir = pair.heir_of();
-            let told = seen.into_iter().find(|(life, _)| Some(*life) == heir);
-            if let Some((_, Some(share))) = told {
-                return Some(share);
-            }
-            sleep(SHARE_LOOK).await;
-        }
-    }
-
-    /// The others that live, and what each tells.
-    fn see(&self) -> io::Result<Vec<(Life, Option<Share>)>> {
-        let others = self.others()?.into_iter();
-        Ok(others.map(|life| (life, self.read(life))).collect())
+        sleep(SHARE_LOOK).await;
     }
 }
 
-impl Drop for Folder {
-    fn drop(&mut self) {
-        for kind in [TELLS, LIVES] {
-            // What stays is removed by the next to look.
-            let _ = std::fs::remove_file(self.of(kind, self.own));
-        }
-    }
+fn lives(seen: &Seen) -> Vec<(Life, Option<Phase>)> {
+    let lives = seen.iter();
+    lives
+        .map(|(life, share)| (*life, phase(share.as_ref())))
+        .collect()
 }
 
 fn phase(share: Option<&Share>) -> Option<Phase> {
@@ -175,8 +92,22 @@
     pub sessions: usize,
 }
 
+impl Others {
+    /// There are none.
+    pub const NONE: Others = Others {
+        parts: 1,
+        sessions: 0,
+    };
+    /// There may be another, of which nothing is known.
+    const MAYBE: Others = Others {
+        parts: 2,
+        sessions: 0,
+    };
+}
+
 /// What this process tells of itself.
 pub struct Own {
+    pub clock: Clock,
     pub desk: Desk,
     pub places: Places,
     pub orders: watch::Receiver<Orders>,
@@ -198,15 +129,23 @@
         }
     }
 
-    async fn share(&self, name: &str) -> Share {
+    fn now(&self) -> Micros {
+        self.clock.micros(Instant::now())
+    }
+
+    /// What it tells to those that it has found.
+    async fn share(&self, name: &str, found: Vec<Life>) -> Share {
         // The number first: a list that is newer than its number only hears of some change twice.
         let seq = self.reached.borrow().seq;
         let file = self.file.borrow().to_string();
         let (targets, drained, tenants) = self.desk.standing().await;
+        let held = self.desk.held_over().await;
         Share {
             stated: Stated {
                 name: name.to_string(),
-                at: unix_now(),
+                at: unix_now().0,
+                clock: Some(self.now()),
+                found: Some(found),
                 phase: self.phase(),
                 seq,
                 targets,
@@ -215,56 +154,123 @@
                 tenants,
                 file,
             },
-            held: self.desk.held_over().await,
+            held,
         }
     }
 }
 
-/// Looks for others as long as the process runs, and tells what they leave.
-pub async fn keep(folder: Folder, own: Own, left: watch::Sender<Others>) {
-    let folder = Arc::new(folder);
-    let mut pair = Pair::new(folder.own);
-    let mut seed = folder.own.began;
-    loop {
-        let (looking, before) = (folder.clone(), pair.parts());
-        let seen = tokio::task::spawn_blocking(move || looking.see()).await;
-        let seen = match seen.map_err(io::Error::other).and_then(|seen| seen) {
-            Ok(seen) => seen,
+/// Takes part as long as the process runs, and tells what the others leave.
+pub async fn keep(member: Member, own: Own, left: watch::Sender<Others>) {
+    let (folder, known) = match member {
+        Member::Joined(folder) => (folder, Some(Others::NONE.parts)),
+        Member::Waiting(place) => {
+            // As beside one that sends to cold engines and has half of all limits.
+            left.send_replace(Others::MAYBE);
+            own.desk.beside(Held::default(), false).await;
+            (place.join_at_last().await, None)
+        }
+    };
+    Meeting::new(folder, own).hold(known, left).await;
+}
+
+/// This process's regular looks for the others.
+struct Meeting {
+    folder: Arc<Folder>,
+    own: Own,
+    pair: Pair,
+    seen: Seen,
+    freshness: Freshness,
+    seed: u64,
+}
+
+impl Meeting {
+    fn new(folder: Folder, own: Own) -> Meeting {
+        let Life { generation, draw } = folder.own;
+        Meeting {
+            pair: Pair::new(folder.own),
+            seed: generation ^ u64::from(draw),
+            folder: Arc::new(folder),
+            own,
+            seen: Vec::new(),
+            freshness: Freshness::default(),
+        }
+    }
+
+    /// Looks and tells for ever. Until now limits were divided among so many processes; `None` where that was a guess.
+    async fn hold(mut self, mut known: Option<usize>, left: watch::Sender<Others>) {
+        let alone = Some(Others::NONE.parts);
+        loop {
+            self.look().await;
+            let others = self.others();
+            let parts = Some(others.parts);
+            if parts != known {
+                log::info!("{} processes serve as one dispatcher", others.parts);
+            }
+            left.send_if_modified(|left| std::mem::replace(left, others) != others);
+            // The brokers first: what is told next may have the other begin with what this one must leave.
+            if parts != alone || known != alone {
+                self.tell_brokers().await;
+            }
+            if parts != alone {
+                self.tell_others().await;
+            }
+            known = parts;
+            sleep_until(Instant::now() + self.pause()).await;
+        }
+    }
+
+    /// Sees who is there. Where that fails for a moment, those seen last are still there, in a phase that is not known.
+    async fn look(&mut self) {
+        let folder = self.folder.clone();
+        let seen = tokio::task::spawn_blocking(move || folder.see()).await;
+        match seen.map_err(io::Error::other).and_then(|seen| seen) {
+            Ok(seen) => self.seen = seen,
             Err(error) => {
                 log::warn!("looking for other processes: {error}");
-                Vec::new()
+                self.seen.iter_mut().for_each(|(_, share)| *share = None);
             }
-        };
-        let lives = seen
-            .iter()
-            .map(|(life, share)| (*life, phase(share.as_ref())));
-        pair.see(own.phase(), lives.collect());
-        if pair.parts() != before {
-            log::info!("{} processes serve as one dispatcher", pair.parts());
         }
-        let sessions = seen.iter().filter_map(|(_, share)| share.as_ref());
-        let others = Others {
-            parts: pair.parts(),
-            sessions: sessions.map(|share| share.stated.sessions).sum(),
-        };
-        left.send_if_modified(|known| std::mem::replace(known, others) != others);
-        // The brokers first: what is told next may have the other begin with what this one must leave.
-        if pair.parts() > 1 || before > 1 {
-            let others = seen.into_iter().filter_map(|(_, share)| share);
-            let held = others.fold(Held::default(), |sum, share| sum.and(share.held));
-            own.desk.beside(held, pair.may_warm()).await;
+        let now = self.own.now();
+        for (life, share) in &mut self.seen {
+            let fresh = |told: &Share| self.freshness.is_fresh(*life, told.stated.at, now);
+            *share = share.take().filter(fresh);
         }
-        if pair.parts() > 1 {
-            let share = own.share(&folder.name).await;
-            let writing = folder.clone();
-            let written = tokio::task::spawn_blocking(move || writing.write(&share)).await;
-            if let Err(error) = written.map_err(io::Error::other).and_then(|done| done) {
-                log::warn!("telling the other process: {error}");
-            }
+        self.freshness.keep(&self.found());
+        self.pair.see(self.own.phase(), lives(&self.seen));
+    }
+
+    fn found(&self) -> Vec<Life> {
+        self.seen.iter().map(|(life, _)| *life).collect()
+    }
+
+    fn others(&self) -> Others {
+        let told = self.seen.iter().filter_map(|(_, share)| share.as_ref());
+        Others {
+            parts: self.pair.parts(),
+            sessions: told.map(|share| share.stated.sessions).sum(),
         }
-        seed = sedgebeam_core::mix(seed);
-        let draw = 1.0 + SPREAD * (2.0 * (seed as f64 / u64::MAX as f64) - 1.0);
-        sleep_until(Instant::now() + LOOK_EVERY.mul_f64(draw)).await;
+    }
+
+    async fn tell_brokers(&self) {
+        let now = self.own.now();
+        let told = self.seen.iter().filter_map(|(_, share)| share.as_ref());
+        let held = told.fold(Held::default(), |sum, share| sum.and(share.held_at(now)));
+        self.own.desk.beside(held, self.pair.may_warm()).await;
+    }
+
+    async fn tell_others(&self) {
+        let share = self.own.share(&self.folder.name, self.found()).await;
+        let folder = self.folder.clone();
+        let written = tokio::task::spawn_blocking(move || folder.write(&share)).await;
+        if let Err(error) = written.map_err(io::Error::other).and_then(|done| done) {
+            log::warn!("telling the other process: {error}");
+        }
+    }
+
+    fn pause(&mut self) -> Duration {
+        self.seed = sedgebeam_core::mix(self.seed);
+        let draw = 2.0 * (self.seed as f64 / u64::MAX as f64) - 1.0;
+        LOOK_EVERY.mul_f64(1.0 + SPREAD * draw)
     }
 }
 
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line of the dispatcher.
 
 use lexopt::prelude::*;
-use sedgebeam::beside::Folder;
+use sedgebeam::beside::{Member, Place};
 use sedgebeam::config::{self, Environment};
 use sedgebeam::reload::Source;
 use sedgebeam::serve::Beside;
@@ -125,17 +125,12 @@
 /// both have for temporary files.
 async fn beside(environment: &Environment) -> Option<Beside> {
     environment.passed.as_ref()?;
-    let (folder, name) = (environment.folder.as_ref()?, environment.name.clone());
-    match Folder::join(folder, &name.unwrap_or_default()) {
-        Ok(folder) => {
-            let handed = folder.handed().await;
-            Some(Beside { folder, handed })
-        }
-        Err(error) => {
-            log::warn!("{}: alone, come what may: {error}", folder.display());
-            None
-        }
-    }
+    let place = Place {
+        parent: environment.folder.clone()?,
+        name: environment.name.clone().unwrap_or_default(),
+    };
+    let (member, handed) = Member::join(place).await;
+    Some(Beside { member, handed })
 }
 
 fn broken(error: &std::io::Error) -> ExitCode {
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -13,7 +13,7 @@
 
 pub use signals::Signals;
 
-use crate::beside::{self, Folder, Others, Own};
+use crate::beside::{self, Member, Others, Own};
 use crate::config::Config;
 use crate::crew::Crew;
 use crate::duty::Duty;
@@ -32,7 +32,7 @@
 
 /// This process beside others of its dispatcher, and what the one that serves has told.
 pub struct Beside {
-    pub folder: Folder,
+    pub member: Member,
     pub handed: Option<Share>,
 }
 
@@ -63,8 +63,8 @@
         mut terminate,
         mut interrupt,
     } = signals;
-    let (folder, handed) = match beside {
-        Some(beside) => (Some(beside.folder), beside.handed),
+    let (member, handed) = match beside {
+        Some(beside) => (Some(beside.member), beside.handed),
         None => (None, None),
     };
     let (whole, whole_told) = watch::channel(config.connections);
@@ -75,10 +75,7 @@
     let (changelog, reached) = program.follow_changelog(seq);
     let file_in_use = program.heed_reloads(source, hangup, changelog, whole);
     let places = Places::new(program.config.descriptors.sessions);
-    let (others_told, others) = watch::channel(Others {
-        parts: 1,
-        sessions: 0,
-    });
+    let (others_told, others) = watch::channel(Others::NONE);
     let limits = SharedLimits {
         sessions: program.config.descriptors.sessions,
         places: places.clone(),
@@ -86,15 +83,16 @@
         divided,
     };
     supervise::vital("limits", limits.divide(others));
-    if let Some(folder) = folder {
+    if let Some(member) = member {
         let own = Own {
+            clock: program.clock,
             desk: program.crew.desk.clone(),
             places: places.clone(),
             orders: program.duty.subscribe(),
             reached: reached.clone(),
             file: file_in_use,
         };
-        supervise::vital("other processes", beside::keep(folder, own, others_told));
+        supervise::vital("other processes", beside::keep(member, own, others_told));
     }
     let shutdown = program.take_clients(places, reached, all_ended).await?;
     tokio::select! {
--- a/dispatcher/src/serve/startup.rs
+++ b/dispatcher/src/serve/startup.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::{Semaphore, mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// A process that begins beside another waits so long for the change log: it has to serve within six seconds.
 const CATCH_UP: Duration = Duration::from_secs(2);
@@ -67,9 +67,11 @@
         let ended = |_| io::Error::other("the broker ended at once");
         let saved = roster::fold(known.changes.clone());
         desk.list(Listing::Saved, saved).await.map_err(ended)?;
-        let Some(Share { stated, held }) = handed else {
+        let Some(share) = handed else {
             return Ok(known.seq);
         };
+        let held = share.held_at(self.clock.micros(Instant::now()));
+        let stated = share.stated;
         let seq = stated.seq.max(known.seq);
         if stated.seq > known.seq {
             let told = desk.list(Listing::Complete, stated.targets).await;
--- a/handover/src/pair.rs
+++ b/handover/src/pair.rs
@@ -11,25 +11,35 @@
     Ending,
 }
 
-/// Names a process; the older one is the lesser.
+/// Names a process; the older one is the lesser. No clock tells which that is: each generation comes after all that
+/// its process found when it began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Life {
-    /// When it began, in Unix microseconds.
-    pub began: u64,
-    pub process: u32,
+    pub generation: u64,
+    /// Drawn: tells apart those that began at one moment.
+    pub draw: u32,
 }
 
 impl Life {
+    /// One that begins now, after all of these. Versions before this one have their Unix microsecond for a generation.
+    pub fn after(known: impl Iterator<Item = Life>, draw: u32) -> Life {
+        let newest = known.map(|life| life.generation).max();
+        Life {
+            generation: newest.unwrap_or_default().saturating_add(1),
+            draw,
+        }
+    }
+
     /// The name under which others find it.
     pub fn name(&self) -> String {
-        format!("{:020}-{}", self.began, self.process)
+        format!("{:020}-{}", self.generation, self.draw)
     }
 
     pub fn named(name: &str) -> Option<Life> {
-        let (began, process) = name.split_once('-')?;
+        let (generation, draw) = name.split_once('-')?;
         Some(Life {
-            began: began.parse().ok()?,
-            process: process.parse().ok()?,
+            generation: generation.parse().ok()?,
+            draw: draw.parse().ok()?,
         })
     }
 }
--- a/handover/src/share.rs
+++ b/handover/src/share.rs
@@ -1,6 +1,6 @@
 //! What a process tells the others of its dispatcher, as a file: a head of one line, and JSON.
 
-use crate::pair::Phase;
+use crate::pair::{Life, Phase};
 use miniserde::{Deserialize, Serialize, json};
 use sedgebeam_core::{
     ClassHeld, ClassOut, EngineHeld, EngineId, GroupId, Held, Micros, Out, Tenant,
@@ -12,8 +12,8 @@
 const MARK: &str = "sedgebeam-share";
 /// The longest share: that of some thousands of engines.
 const MOST_BYTES: usize = 8 << 20;
-/// A share is out of date after this: whoever wrote it stands still.
-const LASTS: u64 = 2_000_000;
+/// A share of a version that does not say whom it answers is out of date when its wall clock time is this far off.
+const LASTS: Micros = Micros::from_millis(2000);
 
 /// What a process tells.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,8 +27,12 @@
 pub struct Stated {
     /// The dispatcher's name.
     pub name: String,
-    /// When it was written, in Unix microseconds.
+    /// When it was written, in Unix microseconds: for versions that go by the wall clock. Others only see that it changes.
     pub at: u64,
+    /// The time of the writer's own clock by which the times in what it holds are told; where it is missing, the reader's.
+    pub clock: Option<Micros>,
+    /// Whom the writer had found when it wrote. Missing in what versions wrote that go by the wall clock.
+    pub found: Option<Vec<Life>>,
     pub phase: Phase,
     /// The change log's number, and the list that it left.
     pub seq: u64,
@@ -51,14 +55,14 @@
     Torn,
     /// It is of another dispatcher.
     Other,
-    /// It is out of date, or from a time to come.
-    Old,
 }
 
 #[derive(Serialize, Deserialize)]
 struct Record {
     name: String,
     at: u64,
+    clock: Option<u64>,
+    found: Option<Vec<String>>,
     phase: Phase,
     seq: u64,
     targets: Vec<Target>,
@@ -188,11 +192,17 @@
     }
 }
 
+fn lives(names: &[String]) -> Vec<Life> {
+    names.iter().filter_map(|name| Life::named(name)).collect()
+}
+
 impl Share {
     pub fn encode(&self) -> Vec<u8> {
         let Stated {
             name,
             at,
+            clock,
+            found,
             phase,
             seq,
             targets,
@@ -204,6 +214,8 @@
         let record = Record {
             name,
             at,
+            clock: clock.map(|clock| clock.0),
+            found: found.map(|found| found.iter().map(Life::name).collect()),
             phase,
             seq,
             targets,
@@ -220,8 +232,8 @@
         format!("{MARK} {VERSION} {} {sum:08x}\n{body}", body.len()).into_bytes()
     }
 
-    /// Reads a share of the dispatcher of this name, at this Unix microsecond.
-    pub fn decode(bytes: &[u8], name: &str, now: u64) -> Result<Share, Refused> {
+    /// Reads a share of the dispatcher of this name.
+    pub fn decode(bytes: &[u8], name: &str) -> Result<Share, Refused> {
         if bytes.len() > MOST_BYTES {
             return Err(Refused::Foreign);
         }
@@ -243,13 +255,12 @@
         if record.name != name {
             return Err(Refused::Other);
         }
-        if record.at.abs_diff(now) > LASTS {
-            return Err(Refused::Old);
-        }
         Ok(Share {
             stated: Stated {
                 name: record.name,
                 at: record.at,
+                clock: record.clock.map(Micros),
+                found: record.found.map(|found| lives(&found)),
                 phase: record.phase,
                 seq: record.seq,
                 targets: record.targets,
@@ -265,4 +276,20 @@
             },
         })
     }
+
+    /// Whether it was written since this reader came, at this Unix time: a file that was left by an earlier meeting was not.
+    pub fn answers(&self, reader: Life, unix_now: Micros) -> bool {
+        match &self.stated.found {
+            Some(found) => found.contains(&reader),
+            None => self.stated.at.abs_diff(unix_now.0) <= LASTS.0,
+        }
+    }
+
+    /// What it holds, with times by the clock of a reader at which it is now this time.
+    pub fn held_at(&self, now: Micros) -> Held {
+        match self.stated.clock {
+            Some(clock) => self.held.clone().on_clock(clock, now),
+            None => self.held.clone(),
+        }
+    }
 }
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -151,7 +151,27 @@
     }
 }
 
+/// This moment of one clock on another, given what both show now; zero stays what it is, no moment.
+fn moved(at: Micros, from: Micros, to: Micros) -> Micros {
+    if at == Micros(0) {
+        return at;
+    }
+    Micros(at.0.saturating_add(to.0).saturating_sub(from.0))
+}
+
 impl Held {
+    /// The same with its times on another clock, given what both clocks show now.
+    pub fn on_clock(mut self, from: Micros, to: Micros) -> Held {
+        for engine in &mut self.engines {
+            for (at, _) in &mut engine.sent {
+                *at = moved(*at, from, to);
+            }
+            let (rests, jammed) = engine.rests_until;
+            engine.rests_until = (moved(rests, from, to), moved(jammed, from, to));
+        }
+        self
+    }
+
     /// What several hold, as one.
     pub fn and(mut self, other: Held) -> Held {
         for more in other.engines {
