Force a query that crosses the loss of its place where no connection may linger

Connections that are closed without a place hold one of 4 to 16 permits while they hear why; with none left a session that gives way is dropped as it stands, with a reset over what its client has written, and a newcomer likewise. A request that is there already is then lost.

--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -115,6 +115,22 @@
     });
 }
 
+/// The same where as many connections as may are being closed without a place already.
+#[test]
+fn a_query_that_crosses_the_loss_of_its_place_is_refused_though_nobody_may_stay_to_hear_it() {
+    inside(|| async {
+        let mut front = front(1).await;
+        front.serving.farewells = Arc::new(Semaphore::new(0));
+        let mut said = startup();
+        said.extend(query(&statement("lookup 1")));
+        let client = front.serve(&said).await;
+        assert!(front.places.take().expect("the stranger gives way").1);
+        let heard = heard(client).await;
+        assert!(heard.contains("53300"), "{heard}");
+        assert!(front.broker.try_recv().is_err(), "it was sent on");
+    });
+}
+
 /// What the client has said meanwhile is unread when the session ends: a plain close would be a reset.
 #[test]
 fn a_session_that_ends_over_unread_bytes_ends_in_order() {
