Refuse what has come at once where no connection without a place may linger

Change: a connection that has to go while all permits are held is ended in one step that waits for nothing: its error is written, what has come is read, and then it is closed, so that the close is no reset. The same holds for newcomers; whether one may stay is decided in the front, where it stood twice. Left: a request that arrives after that step meets a reset, as it does on any closed connection.

--- a/dispatcher/src/serve/sessions.rs
+++ b/dispatcher/src/serve/sessions.rs
@@ -65,6 +65,7 @@
             match accepted {
                 Ok((stream, _)) if newcomers == Newcomers::TurnedAway => {
                     self.turn_away(stream, pg::Away::Draining);
+                    yield_now().await;
                 }
                 Ok((stream, _)) => self.start(stream).await,
                 Err(error) => {
@@ -93,20 +94,11 @@
         }
     }
 
-    /// Refuses a connection with a word; where too many are being refused already, without one.
+    /// Refuses a connection with a word.
     fn turn_away(&self, stream: TcpStream, why: pg::Away) {
-        let Some(farewell) = self.serving.farewell() else {
-            return;
-        };
-        let shared = self.serving.shared.clone();
-        supervise::watch(
-            "a farewell".to_string(),
-            async move {
-                pg::turn_away(stream, &shared, why).await;
-                drop(farewell);
-            },
-            || {},
-        );
+        let serving = self.serving.clone();
+        let refusal = async move { pg::turn_away(stream, &serving, why).await };
+        supervise::watch("a refusal".to_string(), refusal, || {});
     }
 
     fn next_key(&mut self) -> SessionKey {
@@ -119,6 +111,8 @@
         let Some((place, gave_way)) = self.places.take() else {
             log::debug!("all sessions are busy: a connection is turned away");
             self.turn_away(stream, pg::Away::NoPlace);
+            // Where it can't stay, its descriptor is free before the next one is accepted.
+            yield_now().await;
             return;
         };
         if gave_way {
--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -153,6 +153,21 @@
     });
 }
 
+/// A newcomer that finds no place, and nobody more may stay to hear why.
+#[test]
+fn a_newcomer_is_refused_in_order_though_nobody_may_stay_to_hear_it() {
+    inside(|| async {
+        let mut front = front(1).await;
+        front.serving.farewells = Arc::new(Semaphore::new(0));
+        let mut said = startup();
+        said.extend(query(&statement("lookup 1")));
+        let (client, server) = pair(&said).await;
+        pg::turn_away(server, &front.serving, pg::Away::NoPlace).await;
+        let heard = heard(client).await;
+        assert!(heard.contains("53300"), "{heard}");
+    });
+}
+
 #[test]
 fn a_cancel_finds_its_request_though_all_places_are_taken() {
     inside(|| async {
@@ -180,8 +195,7 @@
         };
         let said = sedgebeam_lab::wire::cancel(&7u64.to_be_bytes());
         let (client, server) = pair(&said).await;
-        let shared = front.serving.shared.clone();
-        let away = pg::turn_away(server, &shared, pg::Away::NoPlace);
+        let away = pg::turn_away(server, &front.serving, pg::Away::NoPlace);
         let (_, heard) = tokio::join!(away, heard(client));
         assert!(heard.contains("53300"), "{heard}");
         // Nothing is sent from then on, before the broker has heard of it.
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -59,9 +59,20 @@
 
 impl Serving {
     /// Leave to hold a descriptor without a place for a while; none where too many do so.
-    pub fn farewell(&self) -> Option<OwnedSemaphorePermit> {
+    fn farewell(&self) -> Option<OwnedSemaphorePermit> {
         self.farewells.clone().try_acquire_owned().ok()
     }
+
+    /// Ends a connection that has no place. Where too many without one stay already, only what can be done at once is
+    /// done: what has come is refused, and with nothing left unread the close is no reset.
+    async fn as_may_stay(&self, goodbye: impl Future<Output = ()>) {
+        match self.farewell() {
+            Some(_farewell) => goodbye.await,
+            None => {
+                let _ = goodbye.now_or_never();
+            }
+        }
+    }
 }
 
 /// Serves a connection until it ends, or until it must go.
@@ -92,11 +103,11 @@
     match ended {
         None => {
             log::debug!("session {}: gives way", key.0);
-            let Some(_farewell) = serving.farewell() else {
-                return;
+            let goodbye = async {
+                session.refuse_rest().await;
+                farewell(session.wire).await;
             };
-            session.refuse_rest().await;
-            farewell(session.wire).await;
+            serving.as_may_stay(goodbye).await;
         }
         Some(ended) => {
             if let Err(error) = ended {
@@ -127,7 +138,12 @@
 }
 
 /// Refuses a connection. It may have come to cancel what another session has under way, and for that needs no place.
-pub async fn turn_away(stream: TcpStream, shared: &Shared, why: Away) {
+pub async fn turn_away(stream: TcpStream, serving: &Serving, why: Away) {
+    let goodbye = refuse_connection(stream, &serving.shared, why);
+    serving.as_may_stay(goodbye).await;
+}
+
+async fn refuse_connection(stream: TcpStream, shared: &Shared, why: Away) {
     let told = match why {
         Away::NoPlace => no_place(&shared.desk),
         Away::Draining => draining(&shared.desk),
--- a/fronts/src/pg/tests.rs
+++ b/fronts/src/pg/tests.rs
@@ -60,6 +60,14 @@
     }
 }
 
+fn serving(desk: &Desk) -> Serving {
+    Serving {
+        shared: Shared { desk: desk.clone() },
+        longest: 16 * 1024,
+        farewells: Arc::new(Semaphore::new(4)),
+    }
+}
+
 /// Has the front serve a connection on which the client has said this; the client's end, and the drain's orders.
 async fn session(desk: &Desk, drain: Drain, said: &[u8]) -> (TcpStream, watch::Sender<Orders>) {
     let (mut client, server) = pair().await;
@@ -67,15 +75,10 @@
     // All of it is there to be read before the session begins.
     let mut there = vec![0; said.len()];
     while server.peek(&mut there).await.expect("reads") < said.len() {}
-    let serving = Serving {
-        shared: Shared { desk: desk.clone() },
-        longest: 16 * 1024,
-        farewells: Arc::new(Semaphore::new(4)),
-    };
     let (place, _) = Places::new(1).take().expect("a place");
     let (order, orders) = watch::channel(drain.orders(Duration::ZERO));
     let leave = Staying::new(orders, Instant::now()).newcomer(0.5);
-    tokio::spawn(serve(server, serving, SessionKey(7), leave, place));
+    tokio::spawn(serve(server, serving(desk), SessionKey(7), leave, place));
     (client, order)
 }
 
@@ -165,7 +168,7 @@
 
 async fn turned_away(desk: Desk, why: Away) -> (String, Option<String>) {
     let (mut client, server) = pair().await;
-    tokio::spawn(async move { turn_away(server, &Shared { desk }, why).await });
+    tokio::spawn(async move { turn_away(server, &serving(&desk), why).await });
     error(&mut client).await
 }
 
