Soak keyed classes, long deadlines and starts in silence, and force two ends of sessions that it found

Cause: the soak had no keyed class, no deadline over 3 s, and no process that starts while the change log says nothing; its judge did not look at refusals of what may have run.

--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -131,6 +131,21 @@
     });
 }
 
+/// Its first query may be on its way when a session has to go: it is told why, and not only closed.
+#[test]
+fn a_session_that_has_asked_nothing_is_told_why_it_ends() {
+    inside(|| async {
+        let front = front(1).await;
+        let mut client = front.serve(&startup()).await;
+        let mut welcome = [0; 1024];
+        assert!(client.read(&mut welcome).await.expect("reads") > 0);
+        let (newcomer, _) = front.places.take().expect("the stranger gives way");
+        assert!(newcomer.stand(Standing::Busy));
+        let heard = heard(client).await;
+        assert!(heard.contains("53300"), "{heard}");
+    });
+}
+
 /// What the client has said meanwhile is unread when the session ends: a plain close would be a reset.
 #[test]
 fn a_session_that_ends_over_unread_bytes_ends_in_order() {
--- a/dispatcher/tests/scenarios/extremes.rs
+++ b/dispatcher/tests/scenarios/extremes.rs
@@ -3,6 +3,8 @@
 use crate::faults::{Call, Fault, Faults};
 use crate::pg_client::{query, startup, statement};
 use crate::stage::{Options, SETTINGS, Stage};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 /// Settings under which clients wait far longer than the platform does before it kills a process.
 fn patient() -> String {
@@ -62,6 +64,25 @@
     assert!(faults.injected(Call::Recv) > 100);
 }
 
+/// More commands at once than a session keeps, and every read gives one byte of them: each is answered before the close.
+#[test]
+fn each_of_too_many_commands_sent_ahead_is_answered_though_reads_are_short() {
+    const COMMANDS: usize = 80;
+    let faults = Faults::none();
+    let stage = with_faults(&["e1"], &faults);
+    let mut said = startup();
+    for number in 1..=COMMANDS {
+        said.extend(query(&statement(&format!("lookup {number}"))));
+    }
+    faults.always(Call::Recv, Fault::Short);
+    let mut client = TcpStream::connect(stage.address("c")).expect("connects");
+    client.write_all(&said).expect("writes");
+    let mut heard = Vec::new();
+    client.read_to_end(&mut heard).expect("no reset");
+    let heard = String::from_utf8_lossy(&heard);
+    assert_eq!(heard.matches("SERROR").count(), COMMANDS);
+}
+
 /// A lack of buffers, as the system tells of it.
 const ENOBUFS: i32 = 105;
 
--- a/dispatcher/tests/soak/clients.rs
+++ b/dispatcher/tests/soak/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: one command at a time or many at once, whole or in pieces; some leave, cancel, stay idle, or go on using a
 //! connection until it is closed.
 
-use crate::judge::{Answer, MILLI, Seen, Time};
+use crate::judge::{Answer, Effect, MILLI, Seen, Time};
 use crate::world::{Draws, Recorder};
 use sedgebeam_lab::wire;
 use std::collections::VecDeque;
@@ -21,6 +21,8 @@
     pub takes: Arc<AtomicBool>,
 }
 
+/// The shortest that a client waits for an answer.
+const LEAST_LIMIT: Time = 500 * MILLI;
 /// A client stops waiting so long after its limit; the judge says whether that was too late.
 const WAITS_ON: Duration = Duration::from_millis(1_500);
 
@@ -95,35 +97,40 @@
     id: u64,
     limit: Time,
     class: &'static str,
-    may_repeat: bool,
+    effect: Effect,
 }
 
 impl Request {
-    fn draw(draws: &mut Draws, longest: Time) -> Request {
-        let load = draws.percent(20);
-        let heavy = draws.percent(15);
+    fn draw(draws: &mut Draws, asked: &Asked) -> Request {
+        let window = asked.window;
+        let (class, effect) = match draws.below(100) {
+            0..20 => ("journal-load", Effect::Once),
+            20..32 => ("report", Effect::Repeatable),
+            32..44 => ("balance", Effect::ByKey { window }),
+            _ => ("lookup", Effect::Repeatable),
+        };
         Request {
             id: draws.next(),
-            limit: 500 * MILLI + draws.below(longest - 500 * MILLI),
-            class: match (load, heavy) {
-                (true, _) => "journal-load",
-                (false, true) => "report",
-                (false, false) => "lookup",
-            },
-            may_repeat: !load,
+            limit: LEAST_LIMIT + draws.below(asked.longest - LEAST_LIMIT),
+            class,
+            effect,
         }
     }
 
     fn bytes(&self) -> Vec<u8> {
-        let verb = if self.may_repeat {
+        let verb = if self.effect == Effect::Repeatable {
             "SELECT * FROM"
         } else {
             "INSERT INTO"
         };
+        let token = match self.effect {
+            Effect::ByKey { .. } => format!(",unique={:032x}", self.id),
+            _ => String::new(),
+        };
         let group = self.id % 50;
         let cpu = if self.class == "lookup" { 80 } else { 2_000 };
         let text = format!(
-            "/* verb={},txn={:016x},limit={},cpu={cpu}.0,memory=8 */ {verb} sales_{group}.orders",
+            "/* verb={},txn={:016x},limit={}{token},cpu={cpu}.0,memory=8 */ {verb} sales_{group}.orders",
             self.class,
             self.id,
             self.limit / MILLI
@@ -132,13 +139,21 @@
     }
 }
 
+/// What holds of all requests of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// The longest that a client waits for an answer.
+    pub longest: Time,
+    /// How long a keyed request may be repeated.
+    pub window: Time,
+}
+
 pub struct Client {
     pub draws: Draws,
     pub places: Vec<Place>,
     pub recorder: Recorder,
     pub over: Arc<AtomicBool>,
-    /// The longest that it waits for an answer.
-    pub longest: Time,
+    pub asked: Asked,
 }
 
 impl Client {
@@ -187,7 +202,7 @@
             _ => 70,
         };
         let requests: Vec<Request> = (0..count)
-            .map(|_| Request::draw(&mut self.draws, self.longest))
+            .map(|_| Request::draw(&mut self.draws, &self.asked))
             .collect();
         let bytes: Vec<u8> = requests.iter().flat_map(Request::bytes).collect();
         if !self.write(&mut session, &bytes).await {
@@ -202,7 +217,7 @@
                 dispatcher,
                 limit: request.limit,
                 behind,
-                may_repeat: request.may_repeat,
+                effect: request.effect,
             });
         }
         let leaves = self.draws.percent(8).then(|| self.draws.millis(1, 300));
--- a/dispatcher/tests/soak/judge.rs
+++ b/dispatcher/tests/soak/judge.rs
@@ -27,6 +27,17 @@
     Failed,
 }
 
+/// What a second run of a request would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing.
+    Repeatable,
+    /// Nothing, where it begins so soon after the first attempt that may have run.
+    ByKey { window: Time },
+    /// Harm.
+    Once,
+}
+
 /// How an attempt ended at its engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -47,7 +58,7 @@
         limit: Time,
         /// Answers come in order: the longest limit of it and of those that were written ahead of it with it.
         behind: Time,
-        may_repeat: bool,
+        effect: Effect,
     },
     /// Its client closed or cancelled.
     Gone {
@@ -107,6 +118,7 @@
     Answered,
     AnsweredOnce,
     NotRepeated,
+    RefusedUnrun,
     OneAttemptOut,
     NothingAfterItsClient,
     DrainKept,
@@ -171,11 +183,12 @@
 
 pub struct Trace(pub Vec<(Time, Seen)>);
 
+/// A request; the default is of no effect.
 #[derive(Default)]
 struct History {
     taken: Vec<(Time, usize, Time)>,
     behind: Time,
-    may_repeat: bool,
+    effect: Option<Effect>,
     gone: Option<Time>,
     answers: Vec<(Time, Answer)>,
     closes: Vec<(Time, bool)>,
@@ -217,12 +230,12 @@
                     dispatcher,
                     limit,
                     behind,
-                    may_repeat,
+                    effect,
                     ..
                 } => {
                     history.behind = behind;
                     history.taken.push((at, dispatcher, limit));
-                    history.may_repeat = may_repeat;
+                    history.effect = Some(effect);
                 }
                 Seen::Gone { .. } => history.gone = history.gone.or(Some(at)),
                 Seen::Answered { answer, .. } => history.answers.push((at, answer)),
@@ -350,7 +363,8 @@
         };
         check(Rule::Answered, self.is_answered(slack, trace));
         check(Rule::AnsweredOnce, self.answers.len() <= 1);
-        check(Rule::NotRepeated, self.may_repeat || self.is_run_once());
+        check(Rule::NotRepeated, self.is_repeated_as_may(slack));
+        check(Rule::RefusedUnrun, self.is_refused_as_may());
         check(Rule::OneAttemptOut, self.has_one_out(slack));
         let gone = self.gone.map(|gone| gone + GONE_BY + slack);
         let after = |begun: &&(Time, usize, Time)| gone.is_some_and(|gone| begun.0 > gone);
@@ -389,14 +403,32 @@
         self.gone.is_some() || crossed || trace.killed_within(dispatcher, from, due)
     }
 
-    /// No second attempt, unless the engine of each before it had said that it never ran.
-    fn is_run_once(&self) -> bool {
-        let tries = self.begun.len().saturating_sub(1);
-        let earlier = self.begun.iter().take(tries);
-        earlier.into_iter().all(|(_, engine, _)| {
-            let mut ends = self.over.iter().filter(|(_, at, _)| at == engine);
-            ends.any(|(_, _, end)| *end == End::NeverRan)
-        })
+    /// Whether the attempt may have run at its engine: unless that has said that it never ran.
+    fn may_have_run(&self, (_, engine, _): &(Time, usize, Time)) -> bool {
+        let mut ends = self.over.iter().filter(|(_, at, _)| at == engine);
+        !ends.any(|(_, _, end)| *end == End::NeverRan)
+    }
+
+    /// What may not be repeated has no attempt after one that may have run; what may for a while, none after that.
+    fn is_repeated_as_may(&self, slack: Time) -> bool {
+        let window = match self.effect {
+            Some(Effect::Once) => None,
+            Some(Effect::ByKey { window }) => Some(window + slack),
+            Some(Effect::Repeatable) | None => return true,
+        };
+        let first = self.begun.iter().position(|begun| self.may_have_run(begun));
+        let Some(first) = first else { return true };
+        let (began, _, _) = self.begun[first];
+        let mut further = self.begun[first + 1..].iter();
+        further.all(|(at, _, _)| window.is_some_and(|window| *at <= began + window))
+    }
+
+    /// A refusal says that trying again does no harm: not where a request that may not be repeated may have run.
+    fn is_refused_as_may(&self) -> bool {
+        let mut answers = self.answers.iter();
+        let refused = answers.any(|(_, answer)| *answer == Answer::Refused);
+        let may_have_run = || self.begun.iter().any(|begun| self.may_have_run(begun));
+        !(refused && self.effect == Some(Effect::Once) && may_have_run())
     }
 
     fn has_one_out(&self, slack: Time) -> bool {
--- a/dispatcher/tests/soak/judge_tests.rs
+++ b/dispatcher/tests/soak/judge_tests.rs
@@ -21,13 +21,13 @@
     }
 }
 
-fn taken(may_repeat: bool) -> (Time, Seen) {
+fn taken(effect: Effect) -> (Time, Seen) {
     let seen = Seen::Taken {
         request: REQUEST,
         dispatcher: 0,
         limit: LIMIT,
         behind: LIMIT,
-        may_repeat,
+        effect,
     };
     (0, seen)
 }
@@ -67,7 +67,7 @@
 #[test]
 fn a_sound_trace_breaks_no_rule() {
     let once = vec![
-        taken(false),
+        taken(Effect::Once),
         begun(1, 1),
         over(2, 1, End::NeverRan),
         begun(3, 2),
@@ -76,13 +76,13 @@
     ];
     assert_eq!(broken(once), []);
     let left = vec![
-        taken(true),
+        taken(Effect::Repeatable),
         begun(1, 1),
         (2, Seen::Gone { request: REQUEST }),
     ];
     assert_eq!(broken(left), []);
     let crossed = vec![
-        taken(false),
+        taken(Effect::Once),
         (
             20 * MILLI,
             Seen::Closed {
@@ -93,7 +93,7 @@
     ];
     assert_eq!(broken(crossed), []);
     let killed = vec![
-        taken(false),
+        taken(Effect::Once),
         begun(1, 1),
         (2, Seen::Killed { dispatcher: 0 }),
     ];
@@ -102,14 +102,20 @@
 
 #[test]
 fn what_has_no_answer_or_a_late_one_or_two_is_caught() {
-    assert_eq!(broken(vec![taken(true)]), [Rule::Answered]);
+    assert_eq!(broken(vec![taken(Effect::Repeatable)]), [Rule::Answered]);
     let late = LIMIT + 600 * MILLI;
-    assert_eq!(broken(vec![taken(true), answered(late)]), [Rule::Answered]);
-    let twice = vec![taken(true), answered(5), answered(6)];
+    assert_eq!(
+        broken(vec![taken(Effect::Repeatable), answered(late)]),
+        [Rule::Answered]
+    );
+    let twice = vec![taken(Effect::Repeatable), answered(5), answered(6)];
     assert_eq!(broken(twice), [Rule::AnsweredOnce]);
     let closed = |at, rested| {
         let request = REQUEST;
-        vec![taken(true), (at, Seen::Closed { request, rested })]
+        vec![
+            taken(Effect::Repeatable),
+            (at, Seen::Closed { request, rested }),
+        ]
     };
     assert_eq!(broken(closed(20 * MILLI, false)), [Rule::Answered]);
     assert_eq!(broken(closed(200 * MILLI, true)), [Rule::Answered]);
@@ -118,28 +124,35 @@
     assert_eq!(broken(sent_on), [Rule::Answered]);
     let long_ago = vec![
         (0, Seen::Killed { dispatcher: 0 }),
-        (300 * MILLI, taken(true).1),
+        (300 * MILLI, taken(Effect::Repeatable).1),
     ];
     assert_eq!(broken(long_ago), [Rule::Answered]);
-    let other = vec![taken(true), (2, Seen::Killed { dispatcher: 1 })];
+    let other = vec![
+        taken(Effect::Repeatable),
+        (2, Seen::Killed { dispatcher: 1 }),
+    ];
     assert_eq!(broken(other), [Rule::Answered]);
 }
 
 #[test]
 fn what_is_repeated_or_out_twice_is_caught() {
-    let repeated = |may_repeat| {
+    let repeated = |effect, again| {
         vec![
-            taken(may_repeat),
+            taken(effect),
             begun(1, 1),
             over(2, 1, End::MayHaveRun),
-            begun(3, 2),
-            answered(5),
+            begun(again, 2),
+            answered(again + 2),
         ]
     };
-    assert_eq!(broken(repeated(true)), []);
-    assert_eq!(broken(repeated(false)), [Rule::NotRepeated]);
+    let keyed = Effect::ByKey { window: 3 * MILLI };
+    let (soon, within, after) = (3, 50 * MILLI, 60 * MILLI);
+    assert_eq!(broken(repeated(Effect::Repeatable, after)), []);
+    assert_eq!(broken(repeated(Effect::Once, soon)), [Rule::NotRepeated]);
+    assert_eq!(broken(repeated(keyed, within)), []);
+    assert_eq!(broken(repeated(keyed, after)), [Rule::NotRepeated]);
     let doubled = vec![
-        taken(true),
+        taken(Effect::Repeatable),
         begun(1, 1),
         begun(3, 2),
         over(200 * MILLI, 1, End::MayHaveRun),
@@ -148,17 +161,35 @@
     assert_eq!(broken(doubled), [Rule::OneAttemptOut]);
 }
 
+#[test]
+fn a_refusal_of_what_may_have_run_and_may_not_be_repeated_is_caught() {
+    let refused = |effect, end| {
+        let answer = Answer::Refused;
+        let request = REQUEST;
+        let refusal = Seen::Answered { request, answer };
+        vec![taken(effect), begun(1, 1), over(2, 1, end), (3, refusal)]
+    };
+    assert_eq!(broken(refused(Effect::Once, End::NeverRan)), []);
+    assert_eq!(
+        broken(refused(Effect::Once, End::MayHaveRun)),
+        [Rule::RefusedUnrun]
+    );
+    for effect in [Effect::Repeatable, Effect::ByKey { window: 0 }] {
+        assert_eq!(broken(refused(effect, End::MayHaveRun)), []);
+    }
+}
+
 #[test]
 fn what_begins_too_late_or_for_too_long_is_caught() {
     let gone = vec![
-        taken(true),
+        taken(Effect::Repeatable),
         (1, Seen::Gone { request: REQUEST }),
         begun(200 * MILLI, 1),
     ];
     assert_eq!(broken(gone), [Rule::NothingAfterItsClient]);
     let drained = vec![
         (0, Seen::Drained { engine: 1 }),
-        taken(true),
+        taken(Effect::Repeatable),
         begun(600 * MILLI, 1),
         answered(601 * MILLI),
     ];
@@ -169,7 +200,11 @@
         told: LIMIT,
         work_ms: 100,
     };
-    let long = vec![taken(true), (300 * MILLI, long), answered(301 * MILLI)];
+    let long = vec![
+        taken(Effect::Repeatable),
+        (300 * MILLI, long),
+        answered(301 * MILLI),
+    ];
     assert_eq!(broken(long), [Rule::TimeLeft]);
 }
 
--- a/dispatcher/tests/soak/main.rs
+++ b/dispatcher/tests/soak/main.rs
@@ -12,7 +12,7 @@
 mod program;
 mod world;
 
-use clients::{Client, Place, crowd};
+use clients::{Asked, Client, Place, crowd};
 use faults::{Call, Fault};
 use judge::{Cold, MILLI, Seen, Terms, Time, Trace, Violation};
 use program::Dispatcher;
@@ -40,7 +40,7 @@
 const FALL_MULTIPLE: f64 = 4.0;
 const OVERLOAD_FOR: Time = 1_000 * MILLI;
 /// Mean work of a request, by how often each class is asked for.
-const MEAN_WORK_MS: f64 = 0.68 * 80.0 + 0.32 * 2_000.0;
+const MEAN_WORK_MS: f64 = 0.56 * 80.0 + 0.44 * 2_000.0;
 
 const EINTR: i32 = 4;
 const ENFILE: i32 = 23;
@@ -60,14 +60,14 @@
     (Call::SetSockOpt, 1, Fault::Error(ENOBUFS)),
 ];
 
-fn settings(dispatchers: usize, longest: Time) -> String {
-    let give_up = longest / MILLI;
+fn settings(dispatchers: usize, asked: &Asked) -> String {
+    let (give_up, window) = (asked.longest / MILLI, asked.window / MILLI);
     let grace = GRACE.as_millis();
     let overload_for = OVERLOAD_FOR / MILLI;
     format!(
         r#"{{"balancers": {dispatchers}, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
-  "domain": {{"class_load": [false, false, true], "class_waits": [true, true, false], "priorities": true,
-    "threads_by_class": [1, 4, 2], "size_cores": [{CORES}], "size_mb": [24576.0], "tells_cost": true}},
+  "domain": {{"class_load": [false, false, true, false], "class_waits": [true, true, false, true], "priorities": true,
+    "threads_by_class": [1, 4, 2, 1], "size_cores": [{CORES}], "size_mb": [24576.0], "tells_cost": true}},
   "limits": {{"cancel": true, "max_attempts": 3, "max_streams": 8, "connect_timeout": 250.0,
     "conn_idle": 3000.0, "max_retry_after": 1000.0}},
   "rules": {{"answer_slack": 20.0, "drain_grace": {grace}.0, "start_capacity": {START_CAPACITY},
@@ -75,7 +75,9 @@
   "services": [
     {{"name": "lookup", "worth": 1.0, "on_time": 500.0, "give_up": {give_up}.0, "effect": "repeatable"}},
     {{"name": "report", "worth": 12.0, "on_time": 1000.0, "give_up": {give_up}.0, "effect": "repeatable"}},
-    {{"name": "journal-load", "worth": 12.0, "on_time": 1000.0, "give_up": {give_up}.0, "effect": "once"}}]}}"#
+    {{"name": "journal-load", "worth": 12.0, "on_time": 1000.0, "give_up": {give_up}.0, "effect": "once"}},
+    {{"name": "balance", "worth": 4.0, "on_time": 1000.0, "give_up": {give_up}.0, "effect": "by_key",
+      "group": "all", "window": {window}.0}}]}}"#
     )
 }
 
@@ -124,7 +126,7 @@
     seed: u64,
     draws: Draws,
     recorder: Recorder,
-    longest: Time,
+    asked: Asked,
     settings: String,
     engines: Vec<Engine>,
     draining: Vec<usize>,
@@ -144,7 +146,16 @@
         let mut draws = Draws::new(seed);
         let recorder = Recorder::new();
         let dispatchers = 2 + draws.below(2) as usize;
-        let longest = (1_500 + draws.below(1_500)) * MILLI;
+        // Deadlines beyond the earliest kill after SIGTERM, too.
+        let longest = if draws.percent(25) {
+            5_000 + draws.below(15_000)
+        } else {
+            1_500 + draws.below(1_500)
+        };
+        let asked = Asked {
+            longest: longest * MILLI,
+            window: (300 + draws.below(3_000)) * MILLI,
+        };
         let mut engines = Vec::new();
         for number in 1..=3 + draws.below(3) as usize {
             let (faults, seed) = (draws.below(20), draws.next());
@@ -168,10 +179,10 @@
             .collect();
         Run {
             seed,
-            settings: settings(dispatchers.len(), longest),
+            settings: settings(dispatchers.len(), &asked),
             draws,
             recorder,
-            longest,
+            asked,
             engines,
             draining: Vec::new(),
             events,
@@ -291,12 +302,18 @@
         self.cold.insert(number, cold);
     }
 
-    /// The change log says nothing, and closes nothing.
+    /// The change log says nothing, and closes nothing; a process may start meanwhile, and an engine drain.
     async fn silence(&mut self) {
         self.disturb();
         for log in &self.logs {
             log.silent.store(true, Ordering::Relaxed);
         }
+        if self.draws.percent(30) {
+            self.kill_one().await;
+        }
+        if self.draws.percent(30) {
+            self.drain().await;
+        }
         sleep(self.draws.millis(200, 2_500)).await;
         for log in &self.logs {
             log.silent.store(false, Ordering::Relaxed);
@@ -324,7 +341,7 @@
         let place = self.draws.below(self.engines.len() as u64) as usize;
         let hangs = self.engines[place].hangs.clone();
         hangs.store(self.draws.percent(60), Ordering::Relaxed);
-        let longest = Duration::from_micros(self.longest);
+        let longest = Duration::from_micros(self.asked.longest);
         self.dispatchers[number].end(longest).await;
         hangs.store(false, Ordering::Relaxed);
         self.start(number).await;
@@ -390,7 +407,7 @@
                     places: places.clone(),
                     recorder: self.recorder.clone(),
                     over: self.over.clone(),
-                    longest: self.longest,
+                    asked: self.asked,
                 };
                 tokio::spawn(client.run())
             })
@@ -399,7 +416,7 @@
         for _ in 0..troubles {
             self.trouble().await;
         }
-        let longest = Duration::from_micros(self.longest);
+        let longest = Duration::from_micros(self.asked.longest);
         // The end of all, with clients that go on.
         for dispatcher in &mut self.dispatchers {
             dispatcher.look();
