Read all that has come when a session ends, and refuse the first command of one that has asked nothing

Change: what is read at the end of a session is read without the scheduler's budget, up to the moment at which the socket has no more. A session that has started, has asked nothing and has to go, is told why before it is closed: its first command, if it is on its way, then has an answer. Sessions that have asked something and rest are closed without a word, as before: a second answer would be worse than a close that crosses.

--- a/dispatcher/tests/scenarios/closes.rs
+++ b/dispatcher/tests/scenarios/closes.rs
@@ -6,7 +6,7 @@
 use sedgebeam_fronts::leave::Staying;
 use sedgebeam_fronts::places::{Places, Standing};
 use sedgebeam_fronts::{Shared, pg};
-use sedgebeam_operation::{Drain, Figures};
+use sedgebeam_operation::{Drain, Figures, Orders};
 use sedgebeam_port::{Answer, Desk, NewRequest, SessionKey, ToBroker};
 use sedgebeam_retune::Tuning;
 use sedgebeam_settings::Facts;
@@ -25,6 +25,7 @@
     serving: pg::Serving,
     broker: mpsc::Receiver<ToBroker>,
     places: Places,
+    orders: watch::Sender<Orders>,
 }
 
 async fn front(places: usize) -> Front {
@@ -37,6 +38,8 @@
     let desk = Desk::new(1, 1, Figures::default(), tuning);
     let (mailbox, broker) = mpsc::channel(64);
     desk.open(0, mailbox).await.expect("a broker");
+    let mut drain = Drain::new(false);
+    drain.prepared();
     let mut front = Front {
         serving: pg::Serving {
             shared: Shared { desk },
@@ -45,6 +48,7 @@
         },
         broker,
         places: Places::new(places),
+        orders: watch::channel(drain.orders(Duration::ZERO)).0,
     };
     // The settings and the list.
     for _ in 0..2 {
@@ -58,8 +62,7 @@
     async fn serve(&self, said: &[u8]) -> TcpStream {
         let (client, server) = pair(said).await;
         let (place, _) = self.places.take().expect("a place");
-        let orders = watch::channel(Drain::new(false).orders(Duration::ZERO)).1;
-        let leave = Staying::new(orders, Instant::now()).newcomer(0.5);
+        let leave = Staying::new(self.orders.subscribe(), Instant::now()).newcomer(0.5);
         let serving = self.serving.clone();
         tokio::spawn(pg::serve(server, serving, SessionKey(7), leave, place));
         client
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -24,6 +24,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::unconstrained;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
@@ -69,7 +70,7 @@
         match self.farewell() {
             Some(_farewell) => goodbye.await,
             None => {
-                let _ = goodbye.now_or_never();
+                let _ = at_once(goodbye);
             }
         }
     }
@@ -94,6 +95,7 @@
         inbox: Inbox::new(serving.longest),
         gone: false,
         started: false,
+        asked: false,
     };
     let ended = tokio::select! {
         biased;
@@ -105,16 +107,20 @@
             log::debug!("session {}: gives way", key.0);
             let goodbye = async {
                 session.refuse_rest().await;
+                session.refuse_first().await;
                 farewell(session.wire).await;
             };
             serving.as_may_stay(goodbye).await;
         }
         Some(ended) => {
-            if let Err(error) = ended {
+            if let Err(error) = &ended {
                 log::debug!("session {}: {error}", key.0);
-                session.complain(&error).await;
+                session.complain(error).await;
             }
             session.refuse_rest().await;
+            if ended.is_ok() {
+                session.refuse_first().await;
+            }
             // It is the first to give way to a newcomer now.
             session.place.stand(Standing::Stranger);
             let mut closed = std::pin::pin!(farewell(session.wire));
@@ -226,6 +232,8 @@
     gone: bool,
     /// Its start is over: commands may come.
     started: bool,
+    /// A command has come.
+    asked: bool,
 }
 
 impl Session {
@@ -237,6 +245,7 @@
         }
         self.started = true;
         while let Some(Heard { said, came }) = self.listen().await? {
+            self.asked = true;
             match said {
                 Said::Query(text) => {
                     if !self.query(text, came).await? {
@@ -333,30 +342,39 @@
             let said = match self.inbox.next() {
                 Some(heard) => Some(heard.said),
                 None if self.gone => None,
-                None => self
-                    .wire
-                    .next()
-                    .now_or_never()
-                    .flatten()
-                    .and_then(Result::ok),
+                None => at_once(self.wire.next()).flatten().and_then(Result::ok),
             };
             match said {
                 Some(Said::Query(text)) if !is_empty(&text) => {
-                    let told = if self.leave.after_answer() {
-                        draining(&self.shared.desk)
-                    } else {
-                        no_place(&self.shared.desk)
-                    };
-                    if self.tell_error(told).await.is_err() {
+                    if self.refuse_one().await.is_err() {
                         return;
                     }
                 }
+                Some(Said::Terminate) => self.gone = true,
                 Some(_) => {}
                 None => return,
             }
         }
     }
 
+    /// Refuses the first command of a session that has asked nothing: it may be on its way.
+    async fn refuse_first(&mut self) {
+        if self.started && !self.asked && !self.gone {
+            // A client that has gone hears nothing.
+            let _ = self.refuse_one().await;
+        }
+    }
+
+    async fn refuse_one(&mut self) -> io::Result<()> {
+        self.asked = true;
+        let told = if self.leave.after_answer() {
+            draining(&self.shared.desk)
+        } else {
+            no_place(&self.shared.desk)
+        };
+        self.tell_error(told).await
+    }
+
     /// Tells the client why its session ends.
     async fn complain(&mut self, error: &io::Error) {
         if error.kind() != io::ErrorKind::InvalidData {
@@ -503,6 +521,11 @@
     }
 }
 
+/// What can be done without waiting, and all of it: the scheduler's budget is no reason to leave what has come unread.
+fn at_once<T>(action: impl Future<Output = T>) -> Option<T> {
+    unconstrained(action).now_or_never()
+}
+
 fn late<E>(_: E) -> io::Error {
     io::Error::new(
         io::ErrorKind::TimedOut,
