Hold the budget of cold engines at 900 gateways

Change: the drawn tests of rights and the virtual fleet's play of rolled, killed and retuned gateways go to 900 (the latter with 120 engines).

--- a/fleet/tests/cold.rs
+++ b/fleet/tests/cold.rs
@@ -94,7 +94,7 @@
     #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
     #[test]
     fn no_window_holds_more_where_gateways_start_anew(
-        gateways in 20u32..320,
+        gateways in 20u32..920,
         heavy in 1.0f64..4.5,
         part in 0.1f64..0.9,
         hoard in 1u64..2000,
@@ -156,7 +156,7 @@
     /// A gateway that nobody asks does not look; when all are asked at once, what came due long ago is lost.
     #[test]
     fn no_window_holds_more_where_gateways_look_seldom_or_hear_other_terms(
-        gateways in prop::sample::select(vec![8u32, 20, 30, 100, 300]),
+        gateways in prop::sample::select(vec![8u32, 20, 30, 100, 300, 900]),
         heavy in 1.0f64..4.5,
         part in 0.1f64..0.9,
         quiet in 1u64..13_000,
@@ -223,7 +223,7 @@
     /// Whatever multiple of its capacity the rule lets a cold engine bear: rights last longer the more it is.
     #[test]
     fn no_window_holds_more_whatever_the_rule_allows(
-        gateways in prop::sample::select(vec![8u32, 32, 100, 300, 800]),
+        gateways in prop::sample::select(vec![8u32, 32, 100, 300, 900]),
         multiple in 2.0f64..6.0,
         heavy in 1.0f64..4.5,
         part in 0.1f64..0.9,
--- a/virtual/tests/days.rs
+++ b/virtual/tests/days.rs
@@ -84,6 +84,7 @@
         (30, 10),
         (100, 20),
         (300, 40),
+        (900, 120),
     ];
     for (at, (gateways, engines)) in sizes.into_iter().enumerate() {
         for kind in ["rolled", "killed and replaced", "retuned"] {
