Look at all engines only where something may have changed, and keep the ring sorted

By samples of the call stack: a look at every engine with a sort of all paces at each call (some 35%), a sort of the ring and a set of all names at each choice (24%), a list of those set aside after each call (6%).

Change, with decisions as they were: the look has a module of its own and is made where an event bears on engines, a rest or a warm-up ends, or the pace has moved; it selects the middle pace in place of sorting, and keeps the ring of warm engines and those set aside. The ring is sorted as engines come and go. What does not depend on the engine is checked once a choice. The hand-over's list is looked up by name: each look beside another process compared every engine with every other.

Dead end: names looked up in the map of engines, one by one, in place of the sort, gained nothing.

--- a/fleet/src/circle.rs
+++ b/fleet/src/circle.rs
@@ -28,6 +28,10 @@
 
 impl Crowd {
     fn level(&self, now: u64) -> f64 {
+        // Of most engines nothing is known, and each decision looks at all.
+        if self.level == 0.0 {
+            return 0.0;
+        }
         let passed = now.saturating_sub(self.at) as f64 / 1e6;
         self.level * 0.5_f64.powf(passed / HALF_LIFE)
     }
@@ -41,7 +45,8 @@
 
     /// So many times as long as alone will an answer take, as far as is known; one where nothing is.
     pub fn stretch(&self, now: u64) -> f64 {
-        self.level(now).exp()
+        let level = self.level(now);
+        if level == 0.0 { 1.0 } else { level.exp() }
     }
 }
 
--- a/src/circle.rs
+++ b/src/circle.rs
@@ -6,6 +6,25 @@
 use sedgebeam_fleet::circle;
 use std::collections::BTreeSet;
 
+/// All engines known, in the order in which every gateway walks them.
+#[derive(Default)]
+pub(crate) struct Ring(Vec<EngineId>);
+
+impl Ring {
+    pub fn add(&mut self, id: EngineId) {
+        let place = self
+            .0
+            .binary_search_by_key(&mix(id.0), |known| mix(known.0));
+        if let Err(place) = place {
+            self.0.insert(place, id);
+        }
+    }
+
+    pub fn keep(&mut self, stays: impl Fn(EngineId) -> bool) {
+        self.0.retain(|id| stays(*id));
+    }
+}
+
 impl Gateway {
     /// How many times as long as alone an answer took; without its work told, by its estimate. What an engine
     /// that has started lately can't do yet is no crowd.
@@ -35,24 +54,33 @@
         self.settings.me.unwrap_or(drawn)
     }
 
+    /// The ring without the engines that are cold, or not listed any more.
+    pub(crate) fn warm_ring(&self) -> Vec<EngineId> {
+        let is_out = |engine: &&EngineView| !engine.listed() || self.is_cold(engine, self.now);
+        let out = self.engines.values().filter(is_out);
+        let out: BTreeSet<EngineId> = out.map(|engine| engine.entry.id).collect();
+        let ring = self.ring.0.iter().copied();
+        if out.is_empty() {
+            return ring.collect();
+        }
+        ring.filter(|id| !out.contains(id)).collect()
+    }
+
     /// Keeps the engines of this gateway's circle, and cold ones on which a right is open. An engine that is
-    /// crowded or set aside gives its place to the next of the walk.
+    /// crowded or set aside gives its place to the next of the walk. They come by their numbers.
     pub(crate) fn narrow(&self, eligible: &mut Vec<&EngineView>) {
         if !self.small_part {
             return;
         }
-        let warm = |engine: &&EngineView| engine.listed() && !self.is_cold(engine, self.now);
-        let warm = self.engines.values().filter(warm);
-        let mut ring: Vec<EngineId> = warm.map(|engine| engine.entry.id).collect();
-        ring.sort_by_cached_key(|id| mix(id.0));
+        let ring = &self.surveyed.warm_ring;
         prefer(eligible, |engine| {
             engine.crowd.stretch(self.now.0) < CROWDED
         });
-        let may: BTreeSet<EngineId> = eligible.iter().map(|engine| engine.entry.id).collect();
+        let may = |id: &EngineId| eligible.binary_search_by_key(id, |engine| engine.entry.id);
         let (me, gateways) = (self.number() as usize, self.settings.gateways as usize);
         let width = circle::width(self.multiple.rate(), ring.len());
         let walk = circle::walk(me, gateways, ring.len()).map(|place| ring[place]);
-        let taken = walk.filter(|id| may.contains(id)).take(width);
+        let taken = walk.filter(|id| may(id).is_ok()).take(width);
         let circle: BTreeSet<EngineId> = taken.collect();
         eligible
             .retain(|engine| circle.contains(&engine.entry.id) || self.is_cold(engine, self.now));
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -5,6 +5,7 @@
 use crate::parts::{ClassOut, EngineShare, Out, Room};
 use crate::policy::Gateway;
 use crate::state::{Mean, Request, Usual};
+use std::collections::BTreeMap;
 
 /// What a gateway holds, and what it has learned.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -91,6 +92,7 @@
 
     /// Begins with what another process of this gateway has learned, where it has learned nothing itself.
     pub fn take_over(&mut self, held: &Held) {
+        self.surveyed.outdated = true;
         for (class, usual) in self.settings.classes.iter().zip(&mut self.usual) {
             let known = held.classes.iter().find(|known| known.name == class.name);
             let Some(known) = known.filter(|_| usual.taken == 0.0) else {
@@ -127,9 +129,10 @@
     /// engines, this one does not, nor for a window after that.
     pub fn beside(&mut self, now: Micros, others: &Held, may_warm: bool) {
         let window = self.settings.overload_for;
+        let held = others.engines.iter().map(|held| (held.engine, held));
+        let held: BTreeMap<EngineId, &EngineHeld> = held.collect();
         for (id, engine) in &mut self.engines {
-            let held = others.engines.iter().find(|held| held.engine == *id);
-            let held = held.cloned().unwrap_or_default();
+            let held = held.get(id).copied().cloned().unwrap_or_default();
             let recent = held.sent.iter().filter(|(at, _)| *at + window > now);
             engine.elsewhere = EngineShare {
                 engine: *id,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,6 @@
 //! assert!(actions.iter().any(|action| matches!(action, Action::Send { engine: EngineId(1), .. })));
 //! ```
 
-mod avoided;
 mod circle;
 mod handover;
 mod interface;
@@ -34,6 +33,7 @@
 mod scale;
 mod sharding;
 mod state;
+mod survey;
 mod warming;
 
 pub use handover::{ClassHeld, EngineHeld, Held};
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,10 +3,12 @@
 //! A request passes straight to an engine while nothing waits and a slot is spare; otherwise it
 //! waits in the queue of its class and tenant, and Most Credit First says who goes next.
 
+use crate::circle::Ring;
 use crate::interface::*;
 use crate::parts::Elsewhere;
 use crate::scale::{OWN_EXCESS, THREADS_PER_CORE, shares};
 use crate::state::*;
+use crate::survey::{Surveyed, bears_on_engines};
 use sedgebeam_fleet::{Multiple, Rests, STRIKES, asking};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -122,13 +124,15 @@
     pub(crate) now: Micros,
     pub(crate) started_at: Option<Micros>,
     pub(crate) engines: BTreeMap<EngineId, EngineView>,
+    pub(crate) ring: Ring,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) queues: Queues,
     pub(crate) class_credit: Credit,
     pub(crate) tenant_credit: Vec<Credit>,
     pub(crate) elsewhere: Elsewhere,
     pub(crate) usual: Vec<Usual>,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
+    pub(crate) surveyed: Surveyed,
     /// For draws that spread the gateways apart.
     pub(crate) seed: u64,
     pub(crate) small_part: bool,
@@ -177,6 +181,7 @@
         self.now = self.now.max(now);
         self.started_at.get_or_insert(now);
         for event in events {
+            self.surveyed.outdated |= bears_on_engines(&event);
             self.take(event);
         }
         self.survey();
@@ -218,26 +223,12 @@
         for entry in entries {
             let kind = entry.kind.and_then(|kind| self.settings.kinds.get(kind.0));
             let kind = kind.cloned().unwrap_or_default();
+            self.ring.add(entry.id);
             self.engines.entry(entry.id).or_default().renew(entry, kind);
         }
         let known = |engine: &EngineView| engine.listed() || engine.attempts_out > 0;
         self.engines.retain(|_, engine| known(engine));
-    }
-
-    /// What holds for the fleet as a whole. The pace is that of the middle engine: a trouble common to all
-    /// slows none against the others.
-    fn survey(&mut self) {
-        let (mut fleet, mut paces) = (Fleet::default(), Vec::new());
-        for engine in self.engines.values().filter(|engine| engine.listed()) {
-            paces.push(engine.pace);
-            let share = self.able_share(engine);
-            fleet.threads += share * self.budget(engine);
-            fleet.memory_mb += share * engine.memory_mb / self.settings.all_gateways();
-        }
-        paces.sort_by(f64::total_cmp);
-        fleet.pace = paces.get(paces.len() / 2).copied().unwrap_or(0.0);
-        self.multiple.bound(self.settings.most_parts(fleet.threads));
-        self.fleet = fleet;
+        self.ring.keep(|id| self.engines.contains_key(&id));
     }
 
     /// Threads that this gateway may have out on the engine while it is under pressure.
@@ -527,10 +518,13 @@
         chosen.map(|engine| engine.entry.id)
     }
 
-    /// The engines that it may be sent to, but for those set aside while there are others.
+    /// The engines that it may be sent to, by their numbers, but for those set aside while there are others.
     fn eligible(&self, request: &Request) -> Vec<&EngineView> {
+        if !self.may_go(request) {
+            return Vec::new();
+        }
         let engines = self.engines.values();
-        let mut eligible = engines.filter(|e| self.may_send(request, e)).collect();
+        let mut eligible = engines.filter(|e| self.may_go_to(request, e)).collect();
         prefer(&mut eligible, |engine| !engine.rests(self.now));
         eligible
     }
@@ -588,6 +582,7 @@
 
     /// A sign that the engine is not well; enough of them in a row set it aside for a while.
     fn strike(&mut self, id: EngineId, strikes: u32, why: &str) -> Option<()> {
+        self.surveyed.outdated = true;
         let engine = self.engines.get_mut(&id)?;
         if engine.health.strike(strikes, self.now.0, self.rests) {
             let log = format!("engine {} set aside: {why}", id.0);
@@ -608,6 +603,7 @@
             return Some(());
         }
         let draw = self.draw(id.0 ^ self.now.0);
+        self.surveyed.outdated = true;
         let engine = self.engines.get_mut(&id)?;
         if engine.health.jammed(self.now.0, self.rests, draw) {
             let log = format!("engine {} set aside: what runs there hardly moves", id.0);
@@ -695,12 +691,19 @@
 
     /// The gate that every send passes: whatever a send could break.
     fn may_send(&self, request: &Request, engine: &EngineView) -> bool {
+        self.may_go(request) && self.may_go_to(request, engine)
+    }
+
+    /// Whether it may be sent at all now.
+    fn may_go(&self, request: &Request) -> bool {
+        !request.over && self.key_ready(request) && self.attempts_allow(request)
+    }
+
+    /// Whether it may be sent to this engine, if it may be sent at all.
+    fn may_go_to(&self, request: &Request, engine: &EngineView) -> bool {
         engine.listed()
-            && !request.over
             && self.placed(request, &engine.entry)
-            && self.key_ready(request)
             && self.effect_allows(request, &engine.entry)
-            && self.attempts_allow(request)
             && self.cold_allows(request, engine)
     }
 
@@ -748,7 +751,10 @@
             engine.heard_at = now;
         }
         request.memory_held = need;
+        let rested = engine.rests(now);
         engine.begins(request, self.settings.classes[request.class].holds_group);
+        // Its trial is out.
+        self.surveyed.outdated |= engine.rests(now) != rested;
         self.elsewhere.room.0 -= request.threads;
         engine.sent(now, window, work);
         engine.rights.used(request.class);
--- a/src/retune.rs
+++ b/src/retune.rs
@@ -82,6 +82,7 @@
                 self.started_at = Some(self.now);
             }
         }
+        self.surveyed.outdated = true;
         self.small_part = settings.small_part();
         self.multiple.retune(settings.multiple());
         self.rests = settings.rests();
--- a/src/sharding.rs
+++ b/src/sharding.rs
@@ -84,6 +84,7 @@
 
     /// Hears what its siblings hold, and what room it has until it publishes.
     pub fn hear(&mut self, siblings: Siblings) {
+        self.surveyed.outdated |= !self.elsewhere.parted;
         for share in siblings.engines {
             if let Some(engine) = self.engines.get_mut(&share.engine) {
                 engine.elsewhere = share;
--- a/src/warming.rs
+++ b/src/warming.rs
@@ -69,8 +69,7 @@
 
     /// Lets the rights on cold engines grow.
     pub(crate) fn warm(&mut self) {
-        let any = || self.engines.values().any(|e| self.is_cold(e, self.now));
-        if !self.by_rights() || !any() {
+        if !self.by_rights() || !self.surveyed.any_cold {
             return;
         }
         let (now, settings, me) = (self.now, &self.settings, self.number());
