Remove the file of a try to join that failed half way

Cause: a try that made its file and could not lock or rename it left it behind, and the next try, 50 ms later, made another, in a folder that counts as memory. Found on rereading the change. By reading: no test makes a lock or a rename fail.

--- a/dispatcher/src/beside/folder.rs
+++ b/dispatcher/src/beside/folder.rs
@@ -77,8 +77,13 @@
             .write(true)
             .create_new(true)
             .open(&hidden)?;
-        lock.lock()?;
-        std::fs::rename(&hidden, path.join(format!("{LIVES}{}", own.name())))?;
+        let named = path.join(format!("{LIVES}{}", own.name()));
+        let joined = lock.lock().and_then(|()| std::fs::rename(&hidden, named));
+        if joined.is_err() {
+            // It would stay for good, one more with each try.
+            let _ = std::fs::remove_file(&hidden);
+        }
+        joined?;
         Ok(Folder {
             path,
             own,
