End connections without a place in one way, and keep the tests' settings in one place

The session that loses its place while it closes asked for a permit on its own; it goes through the step that all others take. The settings of two test programs were alike but for the number of dispatchers.

--- a/dispatcher/tests/large_fleet.rs
+++ b/dispatcher/tests/large_fleet.rs
@@ -1,5 +1,8 @@
 //! What a fleet of the largest size costs one dispatcher: its memory, by the system's own account of its peak.
 
+#[path = "settings/mod.rs"]
+mod settings;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -12,6 +15,8 @@
 /// Engines at the usual size, and as many as there may be.
 const USUAL: usize = 200;
 const MOST: usize = 3_200;
+/// Dispatchers of the largest fleet.
+const DISPATCHERS: u32 = 900;
 /// What the operators allow a fleet that many times larger: this multiple, and these bytes and bytes a thousand engines.
 const TIMES: f64 = 1.5;
 const MORE_KB: f64 = 8.0 * 1024.0;
@@ -21,16 +26,6 @@
 /// Bytes of a long entry of the list.
 const LONG_ENTRY: usize = 500;
 
-const SETTINGS: &str = r#"{"balancers": 900, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
-  "domain": {"class_load": [false, true], "class_waits": [true, false], "threads_by_class": [1, 2],
-    "size_cores": [12], "size_mb": [24576.0], "tells_cost": true},
-  "limits": {"cancel": true, "max_attempts": 3, "max_streams": 32, "connect_timeout": 250.0,
-    "conn_idle": 30000.0, "max_retry_after": 1000.0},
-  "rules": {"answer_slack": 20.0, "drain_grace": 500.0},
-  "services": [
-    {"name": "lookup", "worth": 1.0, "on_time": 2000.0, "give_up": 4000.0, "effect": "repeatable"},
-    {"name": "journal-load", "worth": 12.0, "on_time": 2000.0, "give_up": 4000.0, "effect": "once"}]}"#;
-
 /// An entry of at least so many bytes.
 fn entry(number: usize, least: usize) -> String {
     let (hosts, port) = (number / 200, 10_000 + number % 200);
@@ -66,9 +61,10 @@
         let log = changelog.map_or(String::new(), |address| {
             format!(r#","changelog":"{address}""#)
         });
+        let settings = settings::of(DISPATCHERS);
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","control":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-              "limits":{{"sockets":512,"memory_mb":48}},"known":{{"seq":1,"results":[{known}]}},"settings":{SETTINGS}{log}}}"#
+              "limits":{{"sockets":512,"memory_mb":48}},"known":{{"seq":1,"results":[{known}]}},"settings":{settings}{log}}}"#
         );
         std::fs::write(folder.join("config.json"), config).expect("writes");
         let mut child = Command::new(env!("CARGO_BIN_EXE_sedgebeam"))
--- a/dispatcher/tests/under_load.rs
+++ b/dispatcher/tests/under_load.rs
@@ -4,6 +4,8 @@
 
 #[path = "faults/mod.rs"]
 mod faults;
+#[path = "settings/mod.rs"]
+mod settings;
 
 use faults::{Call, Fault, Faults};
 use sedgebeam_lab::{engine, wire};
@@ -27,16 +29,6 @@
 /// A client asks so often, on average.
 const PACE: Duration = Duration::from_millis(15);
 
-const SETTINGS: &str = r#"{"balancers": 1, "kinds": ["std"], "zones": ["a"], "zone": "a", "tick": 5.0,
-  "domain": {"class_load": [false, true], "class_waits": [true, false], "threads_by_class": [1, 2],
-    "size_cores": [12], "size_mb": [24576.0], "tells_cost": true},
-  "limits": {"cancel": true, "max_attempts": 3, "max_streams": 32, "connect_timeout": 250.0,
-    "conn_idle": 30000.0, "max_retry_after": 1000.0},
-  "rules": {"answer_slack": 20.0, "drain_grace": 500.0},
-  "services": [
-    {"name": "lookup", "worth": 1.0, "on_time": 2000.0, "give_up": 4000.0, "effect": "repeatable"},
-    {"name": "journal-load", "worth": 12.0, "on_time": 2000.0, "give_up": 4000.0, "effect": "once"}]}"#;
-
 fn draw(seed: &mut u64) -> u64 {
     *seed = sedgebeam_core::mix(*seed);
     *seed
@@ -211,9 +203,10 @@
         let target = format!(
             r#"{{"uid":"s-00000001","endpoint":"{engine}","az":"a","model":"std","pod_group":0,"state":"up","boot_ms":0}}"#
         );
+        let settings = settings::of(1);
         let config = format!(
             r#"{{"name":"n0","listen":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":512}},"known":{{"seq":1,
-              "results":[{{"seq":1,"fleet":{{"rev":1,"all":true,"targets":[{target}]}}}}]}},"settings":{SETTINGS}}}"#,
+              "results":[{{"seq":1,"fleet":{{"rev":1,"all":true,"targets":[{target}]}}}}]}},"settings":{settings}}}"#,
             socket.local_addr().expect("an address")
         );
         std::fs::write(folder.join("config.json"), config).expect("writes");
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::task::unconstrained;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Framed;
@@ -59,17 +59,12 @@
 }
 
 impl Serving {
-    /// Leave to hold a descriptor without a place for a while; none where too many do so.
-    fn farewell(&self) -> Option<OwnedSemaphorePermit> {
-        self.farewells.clone().try_acquire_owned().ok()
-    }
-
     /// Ends a connection that has no place. Where too many without one stay already, only what can be done at once is
     /// done: what has come is refused, and with nothing left unread the close is no reset.
     async fn as_may_stay(&self, goodbye: impl Future<Output = ()>) {
-        match self.farewell() {
-            Some(_farewell) => goodbye.await,
-            None => {
+        match self.farewells.try_acquire() {
+            Ok(_farewell) => goodbye.await,
+            Err(_) => {
                 let _ = at_once(goodbye);
             }
         }
@@ -129,9 +124,7 @@
                 () = &mut closed => return,
                 () = gives_way.cancelled() => {}
             }
-            if let Some(_farewell) = serving.farewell() {
-                closed.await;
-            }
+            serving.as_may_stay(closed).await;
         }
     }
 }
