--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -4,30 +4,29 @@
 //! PollFlightInfo get GetFlightInfo instead. The ticket of the result is then redeemed with DoGet. A failed attempt
 //! counts as never run only if the error carries [`NOT_RUN_METADATA`].
 
+mod attempt;
+mod connection;
+
 use crate::NetworkTransport;
 use crate::connection_slots::ConnectionSlot;
-use arrow_flight::decode::FlightRecordBatchStream;
-use arrow_flight::flight_service_client::FlightServiceClient;
-use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
-use arrow_flight::{Action, CancelFlightInfoRequest, FlightDescriptor, FlightInfo, Ticket};
+use arrow_flight::Action;
+use attempt::AttemptTask;
+use connection::{client, open_channel};
+use futures::FutureExt;
 use futures::future::{BoxFuture, Shared};
-use futures::{FutureExt, StreamExt, TryStreamExt};
-use prost::Message;
-use sedgebeam_arrow as arrow;
-use sedgebeam_core::{AttemptNo, LoadReport, Micros, Note, RequestId};
-use sedgebeam_operation::Metrics;
+use sedgebeam_core::{AttemptNo, LoadReport, RequestId};
 use sedgebeam_port::clock::to_duration;
 use sedgebeam_port::{
-    Attempt, AttemptResult, EngineCommand, EngineReport, EngineReporter, Page, PageRequest,
-    ProbeResult, supervise,
+    Attempt, AttemptResult, EngineCommand, EngineReport, EngineReporter, PageRequest, ProbeResult,
+    supervise,
 };
 use sedgebeam_settings::ConnectionSettings;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout};
-use tonic::transport::{Channel, Endpoint};
-use tonic::{Code, Request, Status};
+use tokio::time::{Instant, timeout};
+use tonic::Code;
+use tonic::transport::Channel;
 
 /// Metadata key of an error: the statement never ran.
 pub const NOT_RUN_METADATA: &str = "sedgebeam-not-run";
@@ -40,21 +39,10 @@
 /// Non-standard action: asks for a load report.
 pub const LOAD_REPORT_ACTION: &str = "sedgebeam.stats";
 
-/// The delay after the first poll; it doubles with each poll. It starts short because most queries are short.
-const FIRST_POLL_DELAY: Duration = Duration::from_millis(10);
-const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of page requests of one attempt that wait; a reader asks for one page at a time.
 const PAGE_REQUEST_CAPACITY: usize = 4;
 /// Maximum number of finished attempts that wait for the actor.
 const FINISHED_CAPACITY: usize = 1024;
-/// The interval of HTTP/2 pings while calls are in flight, and the time limit for their acknowledgement. Without pings
-/// a connection that is dead but still open would block its calls and all later ones.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(700);
-/// Bound on the size of one gRPC message from an engine.
-const MAX_MESSAGE_BYTES: usize = 256 * 1024;
-
-type Client = FlightServiceClient<Channel>;
-
 /// A channel that is being connected, shared by all attempts that wait for it; `None` if the connect failed.
 type PendingChannel = Shared<BoxFuture<'static, Option<Channel>>>;
 
@@ -364,30 +352,6 @@
     }
 }
 
-fn client(channel: Channel) -> Client {
-    FlightServiceClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES)
-}
-
-async fn connect(
-    endpoint: &str,
-    connect_timeout: Duration,
-) -> Result<Channel, tonic::transport::Error> {
-    let address = endpoint.trim_start_matches(super::FLIGHT_SCHEME);
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
-        .connect_timeout(connect_timeout)
-        .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
-        .keep_alive_timeout(KEEP_ALIVE_INTERVAL)
-        .tcp_nodelay(true);
-    endpoint.connect().await
-}
-
-async fn open_channel(endpoint: String, connect_timeout: Duration) -> Option<Channel> {
-    let connected = connect(&endpoint, connect_timeout).await;
-    connected
-        .inspect_err(|error| log::info!("connecting to {endpoint} failed: {error}"))
-        .ok()
-}
-
 async fn request_load_report(channel: Channel, time_limit: Duration) -> ProbeResult {
     let call = async {
         let mut results = client(channel)
@@ -415,256 +379,5 @@
     Some(sedgebeam_settings::load_report(values))
 }
 
-/// How an attempt ended, according to its error.
-fn result_of_error(status: &Status) -> AttemptResult {
-    let not_run = status.metadata().contains_key(NOT_RUN_METADATA);
-    match status.code() {
-        // The channel lost its connection earlier and could not reconnect.
-        Code::Unavailable if is_connect_error(status) => AttemptResult::ConnectFailed,
-        Code::ResourceExhausted if not_run => AttemptResult::Busy,
-        _ if not_run => AttemptResult::NotRun,
-        Code::Unavailable => AttemptResult::Reset,
-        _ => AttemptResult::Error,
-    }
-}
-
-fn is_connect_error(status: &Status) -> bool {
-    let first_cause = std::error::Error::source(status);
-    let mut causes = std::iter::successors(first_cause, |cause| cause.source());
-    causes.any(|cause| cause.is::<tonic::ConnectError>())
-}
-
-/// Runs one attempt, from waiting for its connection to serving the last page of its result.
-struct AttemptTask {
-    attempt: Attempt,
-    endpoint: String,
-    reporter: EngineReporter,
-    metrics: Metrics,
-}
-
-impl AttemptTask {
-    /// Runs the attempt and returns whether its connection is broken.
-    async fn run(
-        self,
-        channel: PendingChannel,
-        page_requests: mpsc::Receiver<PageRequest>,
-    ) -> bool {
-        let (request_id, attempt_no) = (self.attempt.request, self.attempt.attempt_no);
-        let Some(channel) = channel.await else {
-            self.reporter
-                .attempt_ended(request_id, attempt_no, AttemptResult::ConnectFailed)
-                .await;
-            return true;
-        };
-        // The request may have ended while the connection was being made.
-        if self.attempt.is_stale() {
-            self.reporter
-                .attempt_ended(request_id, attempt_no, AttemptResult::NotRun)
-                .await;
-            return false;
-        }
-        match self.execute(client(channel)).await {
-            Ok((stream, work)) => {
-                self.metrics.count_forwards(1);
-                self.serve_pages(stream, work, page_requests).await;
-                false
-            }
-            Err(status) => {
-                log::debug!("{}: an attempt failed: {status}", self.endpoint);
-                let result = result_of_error(&status);
-                let is_connection_broken =
-                    matches!(result, AttemptResult::Reset | AttemptResult::ConnectFailed);
-                if result != AttemptResult::ConnectFailed {
-                    self.metrics.count_forwards(1);
-                }
-                self.reporter
-                    .attempt_ended(request_id, attempt_no, result)
-                    .await;
-                is_connection_broken
-            }
-        }
-    }
-
-    /// A call that carries the fields of the attempt as metadata.
-    fn with_metadata<T>(&self, message: T) -> Request<T> {
-        let mut request = Request::new(message);
-        let fields = [
-            ("txn", format!("{:016x}", self.attempt.request.0)),
-            ("kind", self.attempt.class.to_string()),
-            ("rank", self.attempt.priority.to_string()),
-            ("ms", self.attempt.remaining_ms().to_string()),
-        ];
-        let grant = self.attempt.memory_grant_mb;
-        let grant = grant.map(|memory_mb| ("grant", memory_mb.to_string()));
-        let client_fields = self
-            .attempt
-            .wire_fields()
-            .map(|(name, value)| (name, value.to_string()));
-        for (name, value) in fields.into_iter().chain(grant).chain(client_fields) {
-            // Values that are not valid in a header are omitted; the name of a class may be one.
-            if let Ok(value) = value.parse() {
-                request.metadata_mut().insert(name, value);
-            }
-        }
-        request
-    }
-
-    /// Runs the statement; returns the stream of its result, and the work that the engine reported.
-    async fn execute(
-        &self,
-        mut client: Client,
-    ) -> Result<(FlightRecordBatchStream, Option<Micros>), Status> {
-        let query = String::from_utf8(self.attempt.statement.to_vec())
-            .map_err(|_| Status::invalid_argument("the statement is not valid UTF-8"))?;
-        let command = CommandStatementQuery {
-            query,
-            transaction_id: None,
-        };
-        let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
-        let info = self.poll_until_ready(&mut client, descriptor).await?;
-        let mut guard = CancelOnDrop(Some((client.clone(), cancel_action(info.clone()))));
-        let response = client
-            .do_get(self.with_metadata(single_ticket(info)?))
-            .await?;
-        let work_ms = response.metadata().get(WORK_MS_METADATA);
-        let work_ms = work_ms.and_then(|work_ms| work_ms.to_str().ok()?.parse::<f64>().ok());
-        let data = response.into_inner().map_err(Into::into);
-        let stream = FlightRecordBatchStream::new_from_flight_data(data);
-        // From here on, dropping the stream cancels the call at the engine.
-        guard.0 = None;
-        Ok((
-            stream,
-            work_ms.map(|work_ms| Micros::from_millis(work_ms as u64)),
-        ))
-    }
-
-    /// Polls the statement until its result is ready, and reports its progress to the broker.
-    async fn poll_until_ready(
-        &self,
-        client: &mut Client,
-        descriptor: FlightDescriptor,
-    ) -> Result<FlightInfo, Status> {
-        let missing_info = || Status::internal("the engine answered a poll without flight info");
-        let (mut next_descriptor, mut delay) = (descriptor.clone(), FIRST_POLL_DELAY);
-        // The engine may run the statement from the first poll on, before any response contains the flight info that
-        // CancelFlightInfo needs.
-        let abort_action = || Action::new(ABORT_ACTION, format!("{:016x}", self.attempt.request.0));
-        let mut guard = CancelOnDrop(Some((client.clone(), abort_action())));
-        loop {
-            let poll = match client
-                .poll_flight_info(self.with_metadata(next_descriptor))
-                .await
-            {
-                Ok(poll) => poll.into_inner(),
-                Err(status) if status.code() == Code::Unimplemented => {
-                    let info = client.get_flight_info(self.with_metadata(descriptor)).await;
-                    guard.0 = None;
-                    return Ok(info?.into_inner());
-                }
-                Err(status) => {
-                    guard.0 = None;
-                    return Err(status);
-                }
-            };
-            let Some(following_descriptor) = poll.flight_descriptor else {
-                guard.0 = None;
-                return poll.info.ok_or_else(missing_info);
-            };
-            let action = poll.info.map_or_else(abort_action, cancel_action);
-            guard.0 = Some((client.clone(), action));
-            let note = Note::Progress(poll.progress.unwrap_or_default().clamp(0.0, 1.0));
-            let (request_id, attempt_no) = (self.attempt.request, self.attempt.attempt_no);
-            self.reporter
-                .send(EngineReport::Note(request_id, attempt_no, note))
-                .await;
-            sleep(delay).await;
-            (next_descriptor, delay) = (following_descriptor, (delay * 2).min(MAX_POLL_DELAY));
-        }
-    }
-
-    /// Reports the first page and serves the others on request.
-    async fn serve_pages(
-        &self,
-        mut stream: FlightRecordBatchStream,
-        work: Option<Micros>,
-        mut page_requests: mpsc::Receiver<PageRequest>,
-    ) {
-        let (request_id, attempt_no) = (self.attempt.request, self.attempt.attempt_no);
-        let result = match next_page(&mut stream).await {
-            Ok(page) => AttemptResult::Ok {
-                page,
-                work,
-                load: None,
-            },
-            Err(status) => result_of_error(&status),
-        };
-        let has_more_pages = matches!(&result, AttemptResult::Ok { page, .. } if !page.is_last);
-        self.reporter
-            .attempt_ended(request_id, attempt_no, result)
-            .await;
-        while has_more_pages && let Some(page_request) = page_requests.recv().await {
-            let page = match next_page(&mut stream).await {
-                Ok(page) => page,
-                Err(status) => {
-                    log::info!("{}: reading a further page failed: {status}", self.endpoint);
-                    return;
-                }
-            };
-            let is_last = page.is_last;
-            // A reader that dropped its end of the reply channel asks for no further pages.
-            if page_request.reply.send(page).is_err() || is_last {
-                return;
-            }
-        }
-    }
-}
-
-/// The ticket of a result, which must have exactly one endpoint.
-fn single_ticket(info: FlightInfo) -> Result<Ticket, Status> {
-    let mut endpoints = info.endpoint.into_iter();
-    let ticket = endpoints.next().and_then(|endpoint| endpoint.ticket);
-    match endpoints.next() {
-        None => ticket.ok_or_else(|| Status::internal("the flight info has no ticket")),
-        Some(_) => Err(Status::internal(
-            "the flight info has more than one endpoint",
-        )),
-    }
-}
-
-/// The next page. The end of the stream is known only after the last rows, so an empty last page follows them.
-async fn next_page(stream: &mut FlightRecordBatchStream) -> Result<Page, Status> {
-    match stream.next().await {
-        None => Ok(Page {
-            rows: bytes::Bytes::new(),
-            is_last: true,
-        }),
-        Some(Ok(batch)) => Ok(Page {
-            rows: arrow::batch_to_rows(&batch)?,
-            is_last: false,
-        }),
-        Some(Err(error)) => Err(error.into()),
-    }
-}
-
-fn cancel_action(info: FlightInfo) -> Action {
-    let request = CancelFlightInfoRequest { info: Some(info) };
-    Action::new("CancelFlightInfo", request.encode_to_vec())
-}
-
-/// Sends the action to the engine when dropped, unless the action has been cleared.
-struct CancelOnDrop(Option<(Client, Action)>);
-
-impl Drop for CancelOnDrop {
-    fn drop(&mut self) {
-        let Some((mut client, action)) = self.0.take() else {
-            return;
-        };
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            // Best effort: the engine also sees the call cancelled, or ends the attempt at its time limit.
-            runtime.spawn(async move { client.do_action(action).await.map(drop) });
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/engines/src/flight/tests.rs
+++ b/engines/src/flight/tests.rs
@@ -1,7 +1,12 @@
 //! Tests of the metadata that is sent to Flight SQL engines.
 
-use super::*;
-use sedgebeam_core::EngineId;
+use super::attempt::AttemptTask;
+use sedgebeam_core::{AttemptNo, EngineId, RequestId};
+use sedgebeam_operation::Metrics;
+use sedgebeam_port::{Attempt, EngineReporter};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// The metadata of a call for an attempt with this memory grant.
