Keep each Flight SQL attempt on one connection, so that no begun load is repeated

Without a second engine the load was refused as harmless to retry.

Cause: the gRPC channel connects again by itself. On a related path an UNIMPLEMENTED answer to a later poll began the statement once more by GetFlightInfo.

Fix: a channel has one connection for its life. A call after its close fails unsent, which means "nothing ran" for the first call of an attempt alone; any later failure may have run. Closed connections are replaced before the next attempt, and a cancel may still use a new one. That holds for refused, timed out and replaced engines alike, since no call can move.

--- a/dispatcher/tests/scenarios/flight_engine.rs
+++ b/dispatcher/tests/scenarios/flight_engine.rs
@@ -2,6 +2,11 @@
 //!
 //! The first poll of a statement gives the event `fetch` and is answered at once without progress; each later poll is
 //! answered with the next reply of the script. A call that is dropped or cancelled gives the event `abort ID`.
+//!
+//! Ahead of the replies `NOTE-CLOSE SHARE` and `OK-CLOSE PARTS ROWS` their connection is told that it closes (GOAWAY), so
+//! that no further call can be sent on it once they are received. The descriptor of a `NOTE-CLOSE` holds the statement
+//! itself, so that polling with it elsewhere runs the statement again.
+//! The command `refuse` closes the listener, and `disconnect` all connections.
 
 use crate::engines::tab_separated_rows;
 use crate::harness::PeerTask;
@@ -20,21 +25,29 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio_stream::wrappers::TcpListenerStream;
+use tokio_util::sync::CancellationToken;
 use tonic::{Request, Response, Status, Streaming};
 
 /// Both ends of the queue of replies to a request.
 type ReplyChannel = (UnboundedSender<String>, ReplyReceiver);
 type ReplyReceiver = Arc<tokio::sync::Mutex<UnboundedReceiver<String>>>;
 
+/// Far more turns of the scheduler than the tasks of a server need to write a frame.
+const YIELDS_UNTIL_GOAWAY: usize = 100;
+
+/// The service of one connection.
 #[derive(Clone)]
 struct Engine {
     events: UnboundedSender<String>,
     /// The queued replies by request id.
     replies: Arc<Mutex<HashMap<String, ReplyChannel>>>,
+    /// The descriptor of the last statement that began.
+    last_statement: Arc<Mutex<FlightDescriptor>>,
+    /// Closes the connection once the calls in flight on it have been answered.
+    close_connection: CancellationToken,
 }
 
 /// Reports a call that is dropped before it is complete.
@@ -69,32 +82,89 @@
     }
 }
 
+/// Accepts connections until `refuse` is cancelled; each is served until its token is cancelled, or that of
+/// all connections that are open.
+async fn accept_connections(
+    listener: TcpListener,
+    engine: Engine,
+    refuse: CancellationToken,
+    open_connections: Arc<Mutex<CancellationToken>>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = refuse.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, _) = accepted.expect("a connection");
+        let engine = Engine {
+            close_connection: open_connections
+                .lock()
+                .expect("nothing panics here")
+                .child_token(),
+            ..engine.clone()
+        };
+        tokio::spawn(serve_connection(stream, engine));
+    }
+}
+
+async fn serve_connection(connection: TcpStream, engine: Engine) {
+    let close = engine.close_connection.clone();
+    // The server ends with its incoming connections, so they never end here.
+    let incoming = stream::iter([Ok::<_, std::io::Error>(connection)]).chain(stream::pending());
+    let server = tonic::transport::Server::builder().add_service(FlightServiceServer::new(engine));
+    let _ = server
+        .serve_with_incoming_shutdown(incoming, close.cancelled())
+        .await;
+}
+
 pub async fn run_flight_engine(listener: TcpListener, mut peer_task: PeerTask) {
     let engine = Engine {
         events: peer_task.events.clone(),
         replies: Arc::default(),
+        last_statement: Arc::default(),
+        close_connection: CancellationToken::new(),
     };
-    let service = FlightServiceServer::new(engine.clone());
+    let refuse = CancellationToken::new();
+    let open_connections = Arc::new(Mutex::new(CancellationToken::new()));
     let listener = listener.into_std().expect("a listener");
     let engine_runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
         .enable_all()
         .build()
         .expect("a runtime");
-    engine_runtime.spawn(async move {
+    let (accepting_engine, stop_accepting) = (engine.clone(), refuse.clone());
+    let connections_token = open_connections.clone();
+    let accepting = engine_runtime.spawn(async move {
         let listener = TcpListener::from_std(listener).expect("a listener");
-        let server = tonic::transport::Server::builder().add_service(service);
-        server
-            .serve_with_incoming(TcpListenerStream::new(listener))
-            .await
+        accept_connections(
+            listener,
+            accepting_engine,
+            stop_accepting,
+            connections_token,
+        )
+        .await
     });
     let mut engine_runtime = EngineRuntime(Some(engine_runtime));
+    let mut accepting = Some(accepting);
     while let Some(command) = peer_task.commands.recv().await {
-        if command == "close" {
-            break;
+        match command.as_str() {
+            "close" => break,
+            "refuse" => {
+                refuse.cancel();
+                if let Some(accepting) = accepting.take() {
+                    accepting.await.expect("the listener closes");
+                }
+            }
+            "disconnect" => {
+                let mut open_connections = open_connections.lock().expect("nothing panics here");
+                std::mem::take(&mut *open_connections).cancel();
+            }
+            _ => {
+                let request_id = command.split(' ').next().unwrap_or_default().to_string();
+                let _ = engine.reply_channel(&request_id).0.send(command);
+            }
         }
-        let request_id = command.split(' ').next().unwrap_or_default().to_string();
-        let _ = engine.reply_channel(&request_id).0.send(command);
     }
     let runtime = engine_runtime.0.take().expect("taken only here");
     // Waits until all tasks of the runtime have ended.
@@ -121,6 +191,23 @@
         line.split(' ').skip(1).map(str::to_string).collect()
     }
 
+    /// Closes the connection for further calls; the calls in flight on it are still answered.
+    async fn close_connection(&self) {
+        self.close_connection.cancel();
+        // The tasks of the server, which run on the same thread, write the GOAWAY frame ahead of any later reply.
+        for _ in 0..YIELDS_UNTIL_GOAWAY {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Rejects a call on a connection that is being closed.
+    fn check_open(&self) -> Result<(), Status> {
+        if self.close_connection.is_cancelled() {
+            return Err(Status::unavailable("the connection is closing"));
+        }
+        Ok(())
+    }
+
     fn track_call(&self, request_id: &str) -> TrackedCall {
         TrackedCall {
             request_id: request_id.to_string(),
@@ -152,6 +239,7 @@
     let (code, not_run) = match word {
         "BUSY" => (tonic::Code::ResourceExhausted, true),
         "VOID" => (tonic::Code::FailedPrecondition, true),
+        "UNIMPLEMENTED" => (tonic::Code::Unimplemented, false),
         _ => (tonic::Code::Internal, false),
     };
     let mut status = Status::new(code, word);
@@ -188,6 +276,7 @@
     type ListActionsStream = BoxStream<'static, Result<ActionType, Status>>;
 
     async fn poll_flight_info(&self, request: Request<FlightDescriptor>) -> FlightResult<PollInfo> {
+        self.check_open()?;
         let request_id = request_id(&request);
         let descriptor = request.get_ref().clone();
         let mut poll = PollInfo {
@@ -200,14 +289,29 @@
             let _ = self.events.send(format!(
                 "fetch {request_id} kind={kind},ms={ms},rank={priority} {statement}"
             ));
+            *self.last_statement.lock().expect("nothing panics here") = descriptor;
             return Ok(Response::new(poll));
         }
         let mut call = self.track_call(&request_id);
         let words = self.next_reply(&request_id).await;
         call.is_complete = true;
         match words.first().map(String::as_str) {
-            Some("NOTE") => poll.progress = words.get(1).and_then(|share| share.parse().ok()),
-            Some("OK") => {
+            Some(word @ ("NOTE" | "NOTE-CLOSE")) => {
+                poll.progress = words.get(1).and_then(|share| share.parse().ok());
+                if word == "NOTE-CLOSE" {
+                    let statement = self
+                        .last_statement
+                        .lock()
+                        .expect("nothing panics here")
+                        .clone();
+                    poll.flight_descriptor = Some(statement);
+                    self.close_connection().await;
+                }
+            }
+            Some(word @ ("OK" | "OK-CLOSE")) => {
+                if word == "OK-CLOSE" {
+                    self.close_connection().await;
+                }
                 let ticket = Ticket::new(words.join(" "));
                 let endpoint = FlightEndpoint::new().with_ticket(ticket);
                 poll.info = Some(FlightInfo::new().with_endpoint(endpoint));
@@ -219,6 +323,7 @@
     }
 
     async fn do_get(&self, request: Request<Ticket>) -> FlightResult<Self::DoGetStream> {
+        self.check_open()?;
         let request_id = request_id(&request);
         let ticket = String::from_utf8(request.get_ref().ticket.to_vec()).expect("text");
         let words: Vec<&str> = ticket.split(' ').collect();
@@ -262,7 +367,14 @@
         Ok(Response::new(stream::empty().boxed()))
     }
 
-    async fn get_flight_info(&self, _: Request<FlightDescriptor>) -> FlightResult<FlightInfo> {
+    async fn get_flight_info(
+        &self,
+        request: Request<FlightDescriptor>,
+    ) -> FlightResult<FlightInfo> {
+        let statement = statement(request.get_ref()).unwrap_or_default();
+        let _ = self
+            .events
+            .send(format!("fetch-info {} {statement}", request_id(&request)));
         unused_method()
     }
     async fn handshake(
--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -161,6 +161,71 @@
     }
 }
 
+/// Guards against a load that runs on a second engine after its Flight SQL engine has crashed between two polls, or
+/// between the last poll and the fetch of the result: the refused connect proves nothing about a load that has begun.
+#[test]
+fn a_load_that_a_crashed_flight_engine_has_begun_is_not_sent_again() {
+    for last_reply in ["NOTE-CLOSE 0.5", "OK-CLOSE 1 a|b|c"] {
+        Harness::new(&["g1"]).run_script(&format!(
+            "c1 send journal-load 1 20000
+             g1 expect fetch 1
+             g1 send refuse
+             g1 send 1 {last_reply}
+             c1 expect error 58000"
+        ));
+    }
+}
+
+/// Guards against a load that a poll begins anew at the process that has replaced its engine at the same address.
+#[test]
+fn a_flight_attempt_never_goes_on_over_another_connection() {
+    for (last_reply, cancel) in [
+        ("NOTE-CLOSE 0.5", ""),
+        ("OK-CLOSE 1 a|b|c", "g1 expect action CancelFlightInfo"),
+    ] {
+        Harness::new(&["g1"]).run_script(&format!(
+            "c1 send journal-load 1 20000
+             g1 expect fetch 1
+             g1 send 1 {last_reply}
+             c1 expect error 58000
+             {cancel}
+             c2 send lookup 2
+             g1 expect fetch 2"
+        ));
+    }
+}
+
+/// Guards against a load that GetFlightInfo begins once more at an engine that has answered a poll.
+#[test]
+fn a_load_is_not_begun_again_by_get_flight_info_after_its_first_poll() {
+    Harness::new(&["g1"]).run_script(
+        "c1 send journal-load 1 20000
+         g1 expect fetch 1
+         g1 send 1 UNIMPLEMENTED
+         c1 expect error 58000
+         c2 send lookup 2
+         g1 expect fetch 2",
+    );
+}
+
+#[test]
+fn a_load_gets_a_new_connection_after_an_idle_one_was_closed() {
+    Harness::new(&["g1"]).run_script(
+        "c1 send lookup 1
+         g1 expect fetch 1
+         g1 send 1 OK 1 a|b|c
+         c1 expect row
+         c1 expect complete
+         g1 send disconnect
+         app wait connection to grpc
+         c1 send journal-load 2 20000
+         g1 expect fetch 2
+         g1 send 2 OK 1 a|b|c
+         c1 expect row
+         c1 expect complete",
+    );
+}
+
 #[test]
 fn an_attempt_at_a_flight_engine_that_never_replies_ends_before_the_deadline() {
     for client in ["c1", "f1"] {
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -11,7 +11,7 @@
 use crate::connection_slots::ConnectionSlot;
 use arrow_flight::Action;
 use attempt::AttemptTask;
-use connection::{client, open_channel};
+use connection::{OpenChannel, client, open_channel};
 use futures::FutureExt;
 use futures::future::{BoxFuture, Shared};
 use sedgebeam_core::{AttemptNo, LoadReport, RequestId};
@@ -44,7 +44,7 @@
 /// Maximum number of finished attempts that wait for the actor.
 const FINISHED_CAPACITY: usize = 1024;
 /// A channel that is being connected, shared by all attempts that wait for it; `None` if the connect failed.
-type PendingChannel = Shared<BoxFuture<'static, Option<Channel>>>;
+type PendingChannel = Shared<BoxFuture<'static, Option<OpenChannel>>>;
 
 /// A connection and the number of attempts on it.
 struct Connection {
@@ -54,6 +54,20 @@
     last_used_at: Instant,
 }
 
+impl Connection {
+    /// The channel if it is open.
+    fn open_channel(&self) -> Option<Channel> {
+        let open_channel = self.channel.peek()?.as_ref()?;
+        (!open_channel.is_closed()).then(|| open_channel.channel.clone())
+    }
+
+    /// Whether the connection was open and has closed.
+    fn is_closed(&self) -> bool {
+        let open_channel = self.channel.peek().and_then(Option::as_ref);
+        open_channel.is_some_and(OpenChannel::is_closed)
+    }
+}
+
 /// An attempt whose task is running.
 struct RunningAttempt {
     attempt_no: AttemptNo,
@@ -196,6 +210,8 @@
 
     /// Adds an attempt to the connection with the most attempts that has room for one more, or to a new connection.
     fn reserve_stream(&mut self) -> Option<(u64, PendingChannel)> {
+        self.connections
+            .retain(|_, connection| !connection.is_closed());
         let max_streams = self.settings().max_streams;
         let available = self
             .connections
@@ -259,7 +275,7 @@
             attempt,
             endpoint: self.endpoint.clone(),
             reporter: self.reporter.clone(),
-            metrics: self.transport.metrics.clone(),
+            transport: self.transport.clone(),
         };
         let (finished, finished_by_panic) = (self.finished.clone(), self.finished.clone());
         let (panic_reporter, cancel_reporter) = (self.reporter.clone(), self.reporter.clone());
@@ -308,9 +324,7 @@
             .get(&request_id)
             .filter(|running| running.attempt_no == attempt_no);
         let connection = running.and_then(|running| self.connections.get(&running.connection_id));
-        let Some(channel) =
-            connection.and_then(|connection| connection.channel.peek().cloned().flatten())
-        else {
+        let Some(channel) = connection.and_then(Connection::open_channel) else {
             return;
         };
         let action = Action::new(
@@ -324,12 +338,7 @@
     }
 
     fn probe(&mut self) {
-        let mut open_channels = self
-            .connections
-            .values()
-            .filter_map(|connection| connection.channel.peek().cloned().flatten());
-        let channel = open_channels.next();
-        drop(open_channels);
+        let channel = self.connections.values().find_map(Connection::open_channel);
         let (endpoint, reporter) = (self.endpoint.clone(), self.reporter.clone());
         let connect_timeout = to_duration(self.settings().connect_timeout);
         let (slots, max_connections) = (self.transport.slots.clone(), self.settings().max_total);
@@ -339,7 +348,9 @@
                 .is_none()
                 .then(|| slots.try_acquire(max_connections));
             let channel = match slot {
-                Some(Some(_)) => open_channel(endpoint, connect_timeout).await,
+                Some(Some(_)) => open_channel(endpoint, connect_timeout)
+                    .await
+                    .map(|opened| opened.channel),
                 _ => channel,
             };
             let probe = match channel {
--- a/engines/src/flight/attempt.rs
+++ b/engines/src/flight/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt at an engine that speaks Flight SQL: its calls, how it ends, and the pages of its result.
 
-use super::connection::{Client, client};
+use super::connection::{Client, OpenChannel, client, is_unsent, open_channel};
 use super::{ABORT_ACTION, NOT_RUN_METADATA, PendingChannel, WORK_MS_METADATA};
+use crate::NetworkTransport;
 use arrow_flight::decode::FlightRecordBatchStream;
 use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
 use arrow_flight::{Action, CancelFlightInfoRequest, FlightDescriptor, FlightInfo, Ticket};
@@ -9,23 +10,72 @@
 use prost::Message;
 use sedgebeam_arrow as arrow;
 use sedgebeam_core::{Micros, Note};
-use sedgebeam_operation::Metrics;
+use sedgebeam_port::clock::to_duration;
 use sedgebeam_port::{Attempt, AttemptResult, EngineReport, EngineReporter, Page, PageRequest};
+use std::fmt;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
-use tonic::{Code, Request, Status};
+use tonic::{Code, Request, Response, Status};
 
 /// The delay after the first poll; it doubles with each poll. It starts short because most queries are short.
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(10);
 const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 
-/// How an attempt ended, according to its error.
+/// Why a statement has no result.
+enum StatementError {
+    /// Its first call was not sent, because the connection had closed: the statement has not begun.
+    Unsent,
+    /// The engine or the connection failed once the first call was sent. The statement may have run unless the status
+    /// carries [`NOT_RUN_METADATA`].
+    Failed(Status),
+}
+
+impl From<Status> for StatementError {
+    fn from(status: Status) -> StatementError {
+        StatementError::Failed(status)
+    }
+}
+
+impl fmt::Display for StatementError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StatementError::Unsent => formatter.write_str("its connection had closed"),
+            StatementError::Failed(status) => status.fmt(formatter),
+        }
+    }
+}
+
+impl StatementError {
+    /// The error of a call before which nothing of the statement was sent.
+    fn of_first_call(status: Status) -> StatementError {
+        if is_unsent(&status) {
+            StatementError::Unsent
+        } else {
+            StatementError::Failed(status)
+        }
+    }
+
+    fn attempt_result(&self) -> AttemptResult {
+        match self {
+            // The engine is not at fault: it may close connections that are idle.
+            StatementError::Unsent => AttemptResult::NotRun,
+            StatementError::Failed(status) => result_of_error(status),
+        }
+    }
+
+    fn is_connection_broken(&self) -> bool {
+        match self {
+            StatementError::Unsent => true,
+            StatementError::Failed(status) => result_of_error(status) == AttemptResult::Reset,
+        }
+    }
+}
+
+/// How an attempt ended whose first call was sent, according to the error of a call.
 fn result_of_error(status: &Status) -> AttemptResult {
     let not_run = status.metadata().contains_key(NOT_RUN_METADATA);
     match status.code() {
-        // The channel lost its connection earlier and could not reconnect.
-        Code::Unavailable if is_connect_error(status) => AttemptResult::ConnectFailed,
         Code::ResourceExhausted if not_run => AttemptResult::Busy,
         _ if not_run => AttemptResult::NotRun,
         Code::Unavailable => AttemptResult::Reset,
@@ -33,18 +83,12 @@
     }
 }
 
-fn is_connect_error(status: &Status) -> bool {
-    let first_cause = std::error::Error::source(status);
-    let mut causes = std::iter::successors(first_cause, |cause| cause.source());
-    causes.any(|cause| cause.is::<tonic::ConnectError>())
-}
-
 /// Runs one attempt, from waiting for its connection to serving the last page of its result.
 pub(super) struct AttemptTask {
     pub(super) attempt: Attempt,
     pub(super) endpoint: String,
     pub(super) reporter: EngineReporter,
-    pub(super) metrics: Metrics,
+    pub(super) transport: NetworkTransport,
 }
 
 impl AttemptTask {
@@ -55,7 +99,7 @@
         page_requests: mpsc::Receiver<PageRequest>,
     ) -> bool {
         let (request_id, attempt_no) = (self.attempt.request, self.attempt.attempt_no);
-        let Some(channel) = channel.await else {
+        let Some(OpenChannel { channel, .. }) = channel.await else {
             self.reporter
                 .attempt_ended(request_id, attempt_no, AttemptResult::ConnectFailed)
                 .await;
@@ -70,22 +114,19 @@
         }
         match self.execute(client(channel)).await {
             Ok((stream, work)) => {
-                self.metrics.count_forwards(1);
+                self.transport.metrics.count_forwards(1);
                 self.serve_pages(stream, work, page_requests).await;
                 false
             }
-            Err(status) => {
-                log::debug!("{}: an attempt failed: {status}", self.endpoint);
-                let result = result_of_error(&status);
-                let is_connection_broken =
-                    matches!(result, AttemptResult::Reset | AttemptResult::ConnectFailed);
-                if result != AttemptResult::ConnectFailed {
-                    self.metrics.count_forwards(1);
+            Err(error) => {
+                log::debug!("{}: an attempt failed: {error}", self.endpoint);
+                if !matches!(error, StatementError::Unsent) {
+                    self.transport.metrics.count_forwards(1);
                 }
                 self.reporter
-                    .attempt_ended(request_id, attempt_no, result)
+                    .attempt_ended(request_id, attempt_no, error.attempt_result())
                     .await;
-                is_connection_broken
+                error.is_connection_broken()
             }
         }
     }
@@ -114,11 +155,19 @@
         request
     }
 
+    fn cancel_on_drop(&self, client: &Client, action: Action) -> CancelOnDrop<'_> {
+        CancelOnDrop {
+            task: self,
+            client: client.clone(),
+            action: Some(action),
+        }
+    }
+
     /// Runs the statement; returns the stream of its result, and the work that the engine reported.
     async fn execute(
         &self,
         mut client: Client,
-    ) -> Result<(FlightRecordBatchStream, Option<Micros>), Status> {
+    ) -> Result<(FlightRecordBatchStream, Option<Micros>), StatementError> {
         let query = String::from_utf8(self.attempt.statement.to_vec())
             .map_err(|_| Status::invalid_argument("the statement is not valid UTF-8"))?;
         let command = CommandStatementQuery {
@@ -127,7 +176,7 @@
         };
         let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
         let info = self.poll_until_ready(&mut client, descriptor).await?;
-        let mut guard = CancelOnDrop(Some((client.clone(), cancel_action(info.clone()))));
+        let mut guard = self.cancel_on_drop(&client, cancel_action(info.clone()));
         let response = client
             .do_get(self.with_metadata(single_ticket(info)?))
             .await?;
@@ -136,7 +185,7 @@
         let data = response.into_inner().map_err(Into::into);
         let stream = FlightRecordBatchStream::new_from_flight_data(data);
         // From here on, dropping the stream cancels the call at the engine.
-        guard.0 = None;
+        guard.action = None;
         Ok((
             stream,
             work_ms.map(|work_ms| Micros::from_millis(work_ms as u64)),
@@ -148,35 +197,43 @@
         &self,
         client: &mut Client,
         descriptor: FlightDescriptor,
-    ) -> Result<FlightInfo, Status> {
+    ) -> Result<FlightInfo, StatementError> {
         let missing_info = || Status::internal("the engine answered a poll without flight info");
         let (mut next_descriptor, mut delay) = (descriptor.clone(), FIRST_POLL_DELAY);
+        let mut is_first_poll = true;
         // The engine may run the statement from the first poll on, before any response contains the flight info that
         // CancelFlightInfo needs.
         let abort_action = || Action::new(ABORT_ACTION, format!("{:016x}", self.attempt.request.0));
-        let mut guard = CancelOnDrop(Some((client.clone(), abort_action())));
+        let mut guard = self.cancel_on_drop(client, abort_action());
         loop {
             let poll = match client
                 .poll_flight_info(self.with_metadata(next_descriptor))
                 .await
             {
                 Ok(poll) => poll.into_inner(),
-                Err(status) if status.code() == Code::Unimplemented => {
+                Err(status) if is_first_poll && status.code() == Code::Unimplemented => {
                     let info = client.get_flight_info(self.with_metadata(descriptor)).await;
-                    guard.0 = None;
-                    return Ok(info?.into_inner());
+                    guard.action = None;
+                    return info
+                        .map(Response::into_inner)
+                        .map_err(StatementError::of_first_call);
                 }
                 Err(status) => {
-                    guard.0 = None;
-                    return Err(status);
+                    guard.action = None;
+                    return Err(if is_first_poll {
+                        StatementError::of_first_call(status)
+                    } else {
+                        StatementError::Failed(status)
+                    });
                 }
             };
+            is_first_poll = false;
             let Some(following_descriptor) = poll.flight_descriptor else {
-                guard.0 = None;
-                return poll.info.ok_or_else(missing_info);
+                guard.action = None;
+                return Ok(poll.info.ok_or_else(missing_info)?);
             };
             let action = poll.info.map_or_else(abort_action, cancel_action);
-            guard.0 = Some((client.clone(), action));
+            guard.action = Some(action);
             let note = Note::Progress(poll.progress.unwrap_or_default().clamp(0.0, 1.0));
             let (request_id, attempt_no) = (self.attempt.request, self.attempt.attempt_no);
             self.reporter
@@ -257,16 +314,48 @@
 }
 
 /// Sends the action to the engine when dropped, unless the action has been cleared.
-struct CancelOnDrop(Option<(Client, Action)>);
+struct CancelOnDrop<'task> {
+    task: &'task AttemptTask,
+    client: Client,
+    action: Option<Action>,
+}
 
-impl Drop for CancelOnDrop {
+impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        let Some((mut client, action)) = self.0.take() else {
+        let Some(action) = self.action.take() else {
             return;
         };
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            // Best effort: the engine also sees the call cancelled, or ends the attempt at its time limit.
-            runtime.spawn(async move { client.do_action(action).await.map(drop) });
+            let (endpoint, transport) = (self.task.endpoint.clone(), self.task.transport.clone());
+            runtime.spawn(send_cancel(
+                self.client.clone(),
+                action,
+                endpoint,
+                transport,
+            ));
         }
     }
 }
+
+/// Sends the cancel of an attempt, over a new connection if that of the attempt has closed. Best effort: the engine also
+/// sees the call cancelled, or ends the attempt at its time limit.
+async fn send_cancel(
+    mut client_of_attempt: Client,
+    action: Action,
+    endpoint: String,
+    transport: NetworkTransport,
+) {
+    match client_of_attempt.do_action(action.clone()).await {
+        Err(status) if is_unsent(&status) => {}
+        _ => return,
+    }
+    let settings = *transport.connections.borrow();
+    let Some(_slot) = transport.slots.try_acquire(settings.max_total) else {
+        log::debug!("{endpoint}: no connection for the cancel of an attempt");
+        return;
+    };
+    let connect_timeout = to_duration(settings.connect_timeout);
+    if let Some(opened) = open_channel(endpoint, connect_timeout).await {
+        let _ = client(opened.channel).do_action(action).await;
+    }
+}
--- a/engines/src/flight/tests.rs
+++ b/engines/src/flight/tests.rs
@@ -1,14 +1,25 @@
 //! Tests of the metadata that is sent to Flight SQL engines.
 
 use super::attempt::AttemptTask;
-use sedgebeam_core::{AttemptNo, EngineId, RequestId};
+use crate::{ConnectionSlots, NetworkTransport};
+use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
 use sedgebeam_operation::Metrics;
 use sedgebeam_port::{Attempt, EngineReporter};
+use sedgebeam_settings::ConnectionSettings;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+const CONNECTION_SETTINGS: ConnectionSettings = ConnectionSettings {
+    max_per_engine: 1,
+    max_total: 1,
+    max_streams: 1,
+    connect_timeout: Micros::from_millis(250),
+    idle_timeout: Micros::from_millis(30_000),
+    max_open_requests: 1,
+};
+
 /// The metadata of a call for an attempt with this memory grant.
 fn metadata(memory_mb: f64) -> tonic::metadata::MetadataMap {
     let (broker, _broker_mailbox) = mpsc::channel(1);
@@ -29,7 +40,11 @@
         attempt,
         endpoint: String::new(),
         reporter: EngineReporter::new(EngineId(1), broker),
-        metrics: Metrics::default(),
+        transport: NetworkTransport {
+            connections: watch::channel(CONNECTION_SETTINGS).1,
+            metrics: Metrics::default(),
+            slots: ConnectionSlots::default(),
+        },
     };
     task.with_metadata(()).metadata().clone()
 }
