Pass a client's cancel on to the process of the dispatcher that has its session

Cause: a CancelRequest comes on a connection of its own and may reach either of the two processes that accept on one socket; after SIGTERM it only reaches the new one. RequestRouter::cancel dropped a key that is not among its own process's requests.

Fix: a cancel without an open request here is written at once to a file in the shared directory, which the peers read every 20 ms while there are any; the process that has the session executes it, once. Requests that were opened after the cancel are spared, as far as its age is known. Why it works: whichever process accepts the cancel, the one with the session hears of it well within 100 ms, without waiting for a broker.

The frame of messages between processes is a module of its own, used by both kinds.

--- a/dispatcher/src/peer_process.rs
+++ b/dispatcher/src/peer_process.rs
@@ -2,12 +2,14 @@
 //! that a process hands over to its successor.
 //!
 //! Each process looks for peers ten times a second in a shared directory, and writes its message there only while there is
-//! a peer.
+//! a peer. `cancel_relay` passes on the cancel requests that reach the process without the session.
 
+mod cancel_relay;
 mod shared_directory;
 
 pub use shared_directory::{SharedDirectory, SharedDirectoryPath};
 
+use cancel_relay::CancelRelay;
 use sedgebeam_core::{HandoverState, Micros, Tenant};
 use sedgebeam_fronts::session_slots::SessionSlots;
 use sedgebeam_handover::{
@@ -15,6 +17,7 @@
 };
 use sedgebeam_operation::DrainState;
 use sedgebeam_port::clock::Clock;
+use sedgebeam_port::supervise;
 use sedgebeam_port::{AdminRequest, RequestRouter};
 use shared_directory::unix_now;
 use std::io;
@@ -177,6 +180,8 @@
     context: ProcessContext,
     peer_usage: watch::Sender<PeerUsage>,
 ) {
+    // Subscribed before joining, so that no cancel is missed meanwhile.
+    let unmatched_cancels = context.router.subscribe_unmatched_cancels();
     let (directory, published_process_count) = match member {
         GroupMember::Joined(directory) => (directory, Some(PeerUsage::NONE.process_count)),
         GroupMember::Joining(path) => {
@@ -189,7 +194,17 @@
             (path.join_with_retries().await, None)
         }
     };
-    PeerExchange::new(directory, context)
+    let directory = Arc::new(directory);
+    let (live_peers, live_peers_receiver) = watch::channel(Vec::new());
+    // A task of its own: the exchange may wait for brokers, and a cancel may not.
+    let cancel_relay = CancelRelay::new(
+        directory.clone(),
+        context.router.clone(),
+        unmatched_cancels,
+        live_peers_receiver,
+    );
+    supervise::spawn_critical("cancels of other processes", cancel_relay.run());
+    PeerExchange::new(directory, context, live_peers)
         .run(published_process_count, peer_usage)
         .await;
 }
@@ -201,19 +216,25 @@
     pair: ProcessPair,
     peers: PeerMessages,
     freshness: Freshness,
+    live_peers: watch::Sender<Vec<Incarnation>>,
     jitter_seed: u64,
 }
 
 impl PeerExchange {
-    fn new(directory: SharedDirectory, context: ProcessContext) -> PeerExchange {
+    fn new(
+        directory: Arc<SharedDirectory>,
+        context: ProcessContext,
+        live_peers: watch::Sender<Vec<Incarnation>>,
+    ) -> PeerExchange {
         let Incarnation { generation, nonce } = directory.own_incarnation;
         PeerExchange {
             pair: ProcessPair::new(directory.own_incarnation),
             jitter_seed: generation ^ u64::from(nonce),
-            directory: Arc::new(directory),
+            directory,
             context,
             peers: Vec::new(),
             freshness: Freshness::default(),
+            live_peers,
         }
     }
 
@@ -270,7 +291,13 @@
             };
             *message = message.take().filter(is_fresh);
         }
-        self.freshness.retain(&self.live_peers());
+        let live_peers = self.live_peers();
+        self.freshness.retain(&live_peers);
+        self.live_peers.send_if_modified(|published| {
+            let is_changed = *published != live_peers;
+            *published = live_peers;
+            is_changed
+        });
         self.pair
             .update(self.context.phase(), peer_phases(&self.peers));
     }
--- a/dispatcher/src/peer_process/shared_directory.rs
+++ b/dispatcher/src/peer_process/shared_directory.rs
@@ -3,7 +3,7 @@
 //! Each process holds a lock on its own file, which the system releases however the process ends. The next process that
 //! reads the directory removes the files of a dead one. An I/O error doesn't tell whether a process is alive.
 
-use sedgebeam_handover::{HandoverMessage, Incarnation};
+use sedgebeam_handover::{CancelMessage, HandoverMessage, Incarnation};
 use sedgebeam_port::clock::to_micros;
 use std::fs::{DirBuilder, File, OpenOptions, TryLockError};
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -17,8 +17,12 @@
 const LOCK_PREFIX: &str = "lives-";
 /// Prefix of the message files.
 const MESSAGE_PREFIX: &str = "tells-";
+/// Prefix of the files with cancel requests.
+const CANCELS_PREFIX: &str = "cancels-";
 /// Prefix of files that are not complete yet.
 const INCOMPLETE_PREFIX: &str = "new-";
+/// The same for cancel requests, which are written independently of the messages.
+const INCOMPLETE_CANCELS_PREFIX: &str = "new-cancels-";
 /// Time between two attempts to join.
 const JOIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -155,11 +159,14 @@
             Err(TryLockError::Error(error)) => return Err(error),
             Ok(()) => {}
         }
-        for leftover in [
-            path,
-            self.file_path(MESSAGE_PREFIX, incarnation),
-            self.file_path(INCOMPLETE_PREFIX, incarnation),
-        ] {
+        let leftover_prefixes = [
+            MESSAGE_PREFIX,
+            CANCELS_PREFIX,
+            INCOMPLETE_PREFIX,
+            INCOMPLETE_CANCELS_PREFIX,
+        ];
+        let leftovers = leftover_prefixes.map(|prefix| self.file_path(prefix, incarnation));
+        for leftover in std::iter::once(path).chain(leftovers) {
             if let Err(error) = std::fs::remove_file(&leftover) {
                 log::debug!("can't remove {}: {error}", leftover.display());
             }
@@ -182,16 +189,35 @@
             .filter(|message| message.is_addressed_to(self.own_incarnation, unix_now()))
     }
 
-    /// Writes the message for the peers. The file gets its name once it is complete, so no peer reads a partial message.
+    /// Writes the message for the peers.
     pub(super) fn publish(&self, message: &HandoverMessage) -> io::Result<()> {
-        let incomplete_path = self.file_path(INCOMPLETE_PREFIX, self.own_incarnation);
-        std::fs::write(&incomplete_path, message.encode())?;
+        self.write_file(INCOMPLETE_PREFIX, MESSAGE_PREFIX, &message.encode())
+    }
+
+    /// Writes the cancel requests for the peers.
+    pub(super) fn publish_cancels(&self, message: &CancelMessage) -> io::Result<()> {
+        self.write_file(INCOMPLETE_CANCELS_PREFIX, CANCELS_PREFIX, &message.encode())
+    }
+
+    /// Writes a file of this process. It gets its name once it is complete, so no peer reads a partial one.
+    fn write_file(&self, incomplete_prefix: &str, prefix: &str, bytes: &[u8]) -> io::Result<()> {
+        let incomplete_path = self.file_path(incomplete_prefix, self.own_incarnation);
+        std::fs::write(&incomplete_path, bytes)?;
         std::fs::rename(
             &incomplete_path,
-            self.file_path(MESSAGE_PREFIX, self.own_incarnation),
+            self.file_path(prefix, self.own_incarnation),
         )
     }
 
+    /// Reads the cancel requests of a peer; `None` if it has published none.
+    pub(super) fn read_cancels(&self, peer: Incarnation) -> Option<CancelMessage> {
+        let bytes = std::fs::read(self.file_path(CANCELS_PREFIX, peer)).ok()?;
+        let message = CancelMessage::decode(&bytes, &self.dispatcher_name);
+        message
+            .inspect_err(|error| log::debug!("invalid cancels of {}: {error:?}", peer.name()))
+            .ok()
+    }
+
     /// The live peers, each with its message if there is a valid one.
     pub(super) fn read_peers(&self) -> io::Result<Vec<(Incarnation, Option<HandoverMessage>)>> {
         let peers = self.live_peers()?.into_iter();
@@ -203,7 +229,7 @@
 
 impl Drop for SharedDirectory {
     fn drop(&mut self) {
-        for prefix in [MESSAGE_PREFIX, LOCK_PREFIX] {
+        for prefix in [CANCELS_PREFIX, MESSAGE_PREFIX, LOCK_PREFIX] {
             // If this fails, the next process that reads the directory removes the file.
             let _ = std::fs::remove_file(self.file_path(prefix, self.own_incarnation));
         }
--- a/dispatcher/tests/peer_process.rs
+++ b/dispatcher/tests/peer_process.rs
@@ -3,16 +3,19 @@
 
 use sedgebeam::change_log::ChangeLogPosition;
 use sedgebeam::peer_process::{self, GroupMember, PeerUsage, ProcessContext, SharedDirectoryPath};
+use sedgebeam_core::{ClassId, Micros, RequestId, TableGroupId};
 use sedgebeam_fronts::session_slots::SessionSlots;
 use sedgebeam_operation::{Drain, DrainState, Metrics};
 use sedgebeam_port::clock::Clock;
-use sedgebeam_port::{BrokerMessage, RequestRouter};
+use sedgebeam_port::{BrokerMessage, NewRequest, RequestRouter, SessionKey};
 use sedgebeam_reconfigure::RuntimeSettings;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Ends a test that would wait forever; no assertion depends on the value.
 const HANG_TIMEOUT: Duration = Duration::from_secs(60);
@@ -51,6 +54,7 @@
 
 /// A running process, with the channels on which its broker and its limits learn about its peers.
 struct Process {
+    router: RequestRouter,
     broker_messages: mpsc::Receiver<BrokerMessage>,
     peer_usage: watch::Receiver<PeerUsage>,
     // The process reads from these; dropping a sender ends its stream.
@@ -75,7 +79,7 @@
         let (_config_text, applied_config_text) = watch::channel("{}".into());
         let context = ProcessContext {
             clock: Clock::start(),
-            router,
+            router: router.clone(),
             session_slots: SessionSlots::new(1),
             drain_state,
             change_log_position,
@@ -84,6 +88,7 @@
         let (usage_sender, peer_usage) = watch::channel(PeerUsage::NONE);
         tokio::spawn(peer_process::run(member, context, usage_sender));
         Process {
+            router,
             broker_messages,
             peer_usage,
             _drain_state,
@@ -106,6 +111,18 @@
         }
     }
 
+    /// Waits for the request that the broker is told to cancel. Drops the reply channel of each request for the handover
+    /// state.
+    async fn next_cancelled_request(&mut self) -> RequestId {
+        loop {
+            match self.broker_messages.recv().await.expect("it keeps running") {
+                BrokerMessage::ClientLeft(id) => return id,
+                BrokerMessage::GetHandoverState(reply) => drop(reply),
+                _ => {}
+            }
+        }
+    }
+
     async fn wait_for_process_count(&mut self, count: usize) {
         let reached = self
             .peer_usage
@@ -114,6 +131,24 @@
     }
 }
 
+fn request(id: u64, session: SessionKey) -> NewRequest {
+    NewRequest {
+        id: RequestId(id),
+        class: ClassId(0),
+        tenant: None,
+        deadline: Instant::now() + HANG_TIMEOUT,
+        work: Micros(0),
+        memory_mb: 0.0,
+        table_group: TableGroupId(0),
+        statement: "INSERT".into(),
+        is_retry: false,
+        idempotency_token: None,
+        order_key: None,
+        session: Some(session),
+        cancel_token: CancellationToken::new(),
+    }
+}
+
 fn run_test(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -175,3 +210,29 @@
         process.wait_for_process_count(1).await;
     });
 }
+
+/// Guards against a load that begins after its client has cancelled it, because the cancel request reached the other
+/// process of an upgrade.
+#[test]
+fn a_cancel_is_executed_by_the_process_that_has_the_session() {
+    run_test(async {
+        let temp_directory = TempDirectory::new();
+        let (member, _) = GroupMember::join(temp_directory.shared_path()).await;
+        let mut old_process = Process::start(member).await;
+        let (member, _) = GroupMember::join(temp_directory.shared_path()).await;
+        let mut new_process = Process::start(member).await;
+        old_process.wait_for_process_count(2).await;
+        new_process.wait_for_process_count(2).await;
+        let (first, second) = (SessionKey(11), SessionKey(12));
+        let first_request = request(1, first);
+        let first_token = first_request.cancel_token.clone();
+        let _first_answer = old_process.router.submit(first_request).await;
+        let _second_answer = new_process.router.submit(request(2, second)).await;
+        // Either process may accept either cancel.
+        new_process.router.cancel(first).await;
+        assert_eq!(old_process.next_cancelled_request().await, RequestId(1));
+        assert!(first_token.is_cancelled(), "nothing more of it is sent");
+        old_process.router.cancel(second).await;
+        assert_eq!(new_process.next_cancelled_request().await, RequestId(2));
+    });
+}
--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -1,6 +1,6 @@
-//! The message that a process writes to a file for the other processes of its dispatcher: a header
-//! line with format, version, length and checksum, followed by JSON.
+//! The message that a process writes to a file for the other processes of its dispatcher.
 
+use crate::framing::{self, Format, MessageError};
 use crate::process_pair::{Incarnation, Phase};
 use miniserde::{Deserialize, Serialize, json};
 use sedgebeam_core::{
@@ -11,9 +11,12 @@
 
 /// Processes ignore messages of another format version.
 pub const FORMAT_VERSION: u32 = 1;
-const FORMAT_NAME: &str = "sedgebeam-share";
-/// Maximum length of a message: enough for several thousand engines.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
+const FORMAT: Format = Format {
+    name: "sedgebeam-share",
+    version: FORMAT_VERSION,
+    // Enough for several thousand engines.
+    max_bytes: 8 << 20,
+};
 /// Maximum difference between the wall-clock times of writer and reader, for messages of versions
 /// that do not list the processes that the writer had found.
 const MAX_CLOCK_SKEW: Micros = Micros::from_millis(2000);
@@ -50,17 +53,6 @@
     pub config_text: String,
 }
 
-/// Why a message is rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MessageError {
-    /// Not a message of this format version.
-    UnsupportedFormat,
-    /// Incomplete or damaged.
-    Corrupt,
-    /// Written by a process of another dispatcher.
-    OtherDispatcher,
-}
-
 /// The JSON form of a message. The field names of this and the following records are part of the
 /// format.
 #[derive(Serialize, Deserialize)]
@@ -256,34 +248,12 @@
                 .collect(),
             multiple: self.handover_state.concurrency_limit,
         };
-        let body = json::to_string(&record);
-        let checksum = crc32fast::hash(body.as_bytes());
-        format!(
-            "{FORMAT_NAME} {FORMAT_VERSION} {} {checksum:08x}\n{body}",
-            body.len()
-        )
-        .into_bytes()
+        framing::encode(&FORMAT, &json::to_string(&record))
     }
 
     /// Decodes a message of the dispatcher `dispatcher_name`.
     pub fn decode(bytes: &[u8], dispatcher_name: &str) -> Result<HandoverMessage, MessageError> {
-        if bytes.len() > MAX_MESSAGE_BYTES {
-            return Err(MessageError::UnsupportedFormat);
-        }
-        let text = std::str::from_utf8(bytes).map_err(|_| MessageError::Corrupt)?;
-        let (header, body) = text.split_once('\n').ok_or(MessageError::Corrupt)?;
-        let fields: Vec<&str> = header.split(' ').collect();
-        let [format_name, version, length, checksum] = fields[..] else {
-            return Err(MessageError::UnsupportedFormat);
-        };
-        if format_name != FORMAT_NAME || version.parse() != Ok(FORMAT_VERSION) {
-            return Err(MessageError::UnsupportedFormat);
-        }
-        let is_intact = length.parse() == Ok(body.len())
-            && u32::from_str_radix(checksum, 16) == Ok(crc32fast::hash(body.as_bytes()));
-        if !is_intact {
-            return Err(MessageError::Corrupt);
-        }
+        let body = framing::decode(&FORMAT, bytes)?;
         let record: MessageRecord =
             json::from_str(body).map_err(|_| MessageError::UnsupportedFormat)?;
         if record.name != dispatcher_name {
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -21,5 +21,5 @@
     EngineTransport, IdleEngine, Page, PageRequest, ProbeResult, memory_grant,
 };
 pub use request::{BrokerMessage, BrokerSender, NewRequest, SessionKey};
-pub use request_router::{BrokerClosed, HEARTBEAT_INTERVAL, RequestRouter};
+pub use request_router::{BrokerClosed, HEARTBEAT_INTERVAL, RequestRouter, UnmatchedCancel};
 pub use sedgebeam_discovery::{ListUpdate, Target, apply_update};
--- a/port/src/request_router.rs
+++ b/port/src/request_router.rs
@@ -19,15 +19,17 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex as SyncMutex, PoisonError, RwLock};
-use std::time::{Duration, Instant};
-use tokio::sync::{Mutex, MutexGuard, oneshot, watch};
-use tokio::time::{sleep, sleep_until, timeout};
+use std::time::Duration;
+use tokio::sync::{Mutex, MutexGuard, broadcast, oneshot, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Interval between the heartbeats of a broker if there are several shards.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
 /// A shard without a heartbeat for this long gets no requests.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of unmatched cancels that a subscriber may be behind; it misses older ones.
+const UNMATCHED_CANCEL_CAPACITY: usize = 1024;
 /// Maximum wait for the reply of a broker.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -94,6 +96,8 @@
     started_at: Instant,
     /// The open request of each session, for cancellation.
     sessions: Sessions,
+    /// Cancels of sessions that have no open request here.
+    unmatched_cancels: broadcast::Sender<UnmatchedCancel>,
     /// Locked during broadcasts, so that all brokers receive them in the same order.
     replicated_state: Mutex<ReplicatedState>,
 }
@@ -102,11 +106,19 @@
 #[derive(Clone, Debug)]
 struct SessionRequest {
     id: RequestId,
+    opened_at: Instant,
     cancel_token: CancellationToken,
     /// `None` until the request is routed.
     broker: Option<BrokerSender>,
 }
 
+/// A cancel for a session that has no request open here.
+#[derive(Clone, Copy, Debug)]
+pub struct UnmatchedCancel {
+    pub session: SessionKey,
+    pub received_at: Instant,
+}
+
 type Sessions = Arc<SyncMutex<HashMap<SessionKey, SessionRequest>>>;
 
 /// A session's entry in [`Sessions`], removed on drop.
@@ -121,6 +133,7 @@
         let (key, sessions) = (request.session?, sessions.clone());
         let entry = SessionRequest {
             id: request.id,
+            opened_at: Instant::now(),
             cancel_token: request.cancel_token.clone(),
             broker: None,
         };
@@ -173,6 +186,7 @@
                 hash_seed: seed,
                 started_at: Instant::now(),
                 sessions: Sessions::default(),
+                unmatched_cancels: broadcast::Sender::new(UNMATCHED_CANCEL_CAPACITY),
                 replicated_state: Mutex::new(ReplicatedState::new(SettingsTable::new(
                     runtime_settings,
                 ))),
@@ -351,23 +365,47 @@
     }
 
     /// Cancels the open request of a session. Nothing more of it is sent from now on; the broker is notified as well.
+    /// Without an open request here, passes the cancel to the subscribers of unmatched cancels, because the session may be
+    /// that of another process of this dispatcher.
     pub async fn cancel(&self, session: SessionKey) {
+        let received_at = Instant::now();
+        if !self.cancel_request_open_at(session, received_at).await {
+            let unmatched_cancel = UnmatchedCancel {
+                session,
+                received_at,
+            };
+            // Fails only without subscribers.
+            let _ = self.shared.unmatched_cancels.send(unmatched_cancel);
+        }
+    }
+
+    /// Cancels the request of a session if it is still open and was open at `cancelled_at`; returns whether it was.
+    pub async fn cancel_request_open_at(&self, session: SessionKey, cancelled_at: Instant) -> bool {
         let session_request = {
             let sessions = self.shared.sessions.lock();
             let sessions = sessions.unwrap_or_else(PoisonError::into_inner);
-            let session_request = sessions.get(&session).cloned();
+            let session_request = sessions.get(&session);
+            let session_request =
+                session_request.filter(|request| request.opened_at <= cancelled_at);
             // Under the lock, before the entry gets its broker: `submit` checks the token after setting it.
-            if let Some(request) = &session_request {
+            if let Some(request) = session_request {
                 request.cancel_token.cancel();
             }
-            session_request
+            session_request.cloned()
         };
-        if let Some(SessionRequest { id, broker, .. }) = session_request
-            && let Some(broker) = broker
-        {
+        let Some(SessionRequest { id, broker, .. }) = session_request else {
+            return false;
+        };
+        if let Some(broker) = broker {
             // A broker that has ended has nothing to cancel.
             let _ = broker.send(BrokerMessage::ClientLeft(id)).await;
         }
+        true
+    }
+
+    /// Receives all later cancels for which no request is open here.
+    pub fn subscribe_unmatched_cancels(&self) -> broadcast::Receiver<UnmatchedCancel> {
+        self.shared.unmatched_cancels.subscribe()
     }
 
     /// Sends an engine list update to all brokers, including those without recent heartbeats.
