Probe a Flight SQL engine over a new connection while its open one is closing

Evidence: a_probe_does_not_use_a_flight_connection_that_is_closing failed before this change (Down where Up is due).

Fix: a probe that was not sent because its connection takes no further calls goes over a new one, as one without an open connection does.

--- a/dispatcher/tests/scenarios/engine_actor.rs
+++ b/dispatcher/tests/scenarios/engine_actor.rs
@@ -1,9 +1,10 @@
 //! The actor of one engine, without a broker, against scripted engines.
 
 use crate::engines;
+use crate::flight_engine;
 use crate::harness::{Peer, peer_channels};
 use bytes::Bytes;
-use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
+use sedgebeam_core::{AttemptNo, EngineId, Micros, Note, RequestId};
 use sedgebeam_engines::{ConnectionSlots, NetworkTransport};
 use sedgebeam_operation::Metrics;
 use sedgebeam_port::{
@@ -517,3 +518,36 @@
         fixture.expect_attempt_ended(1, AttemptResult::NotRun).await;
     });
 }
+
+/// Guards against an engine that counts as down because its probe went to a connection that takes no further calls.
+#[test]
+fn a_probe_does_not_use_a_flight_connection_that_is_closing() {
+    run_test(|| async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (engine, peer_task) = peer_channels();
+        tokio::spawn(flight_engine::run_flight_engine(listener, peer_task));
+        let mut fixture = fixture_for_endpoint(engine, format!("grpc://{address}"), 1);
+        for id in [1, 2] {
+            fixture.send_attempt(id, 0).await;
+            fixture.expect_engine_receives(&format!("fetch {id}")).await;
+        }
+        // The close is announced ahead of the note. The second attempt keeps the connection open.
+        fixture.send_engine_reply("1 NOTE-CLOSE 0.5");
+        let half_done = Note::Progress(0.5);
+        while !matches!(fixture.next_report().await, EngineReport::Note(_, _, note) if note == half_done)
+        {
+        }
+        fixture.send_command(EngineCommand::Probe).await;
+        loop {
+            match fixture.next_report().await {
+                EngineReport::Probed(probe) => {
+                    assert!(matches!(probe, ProbeResult::Up(_)), "{probe:?}");
+                    return;
+                }
+                EngineReport::AttemptEnded(..) | EngineReport::Note(..) => {}
+                other => panic!("no probe: {other:?}"),
+            }
+        }
+    });
+}
--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -11,7 +11,7 @@
 use crate::connection_slots::ConnectionSlot;
 use arrow_flight::Action;
 use attempt::AttemptTask;
-use connection::{OpenChannel, client, open_channel};
+use connection::{OpenChannel, client, is_unsent, open_channel};
 use futures::FutureExt;
 use futures::future::{BoxFuture, Shared};
 use sedgebeam_core::{AttemptNo, LoadReport, RequestId};
@@ -43,6 +43,7 @@
 const PAGE_REQUEST_CAPACITY: usize = 4;
 /// Maximum number of finished attempts that wait for the actor.
 const FINISHED_CAPACITY: usize = 1024;
+
 /// A channel that is being connected, shared by all attempts that wait for it; `None` if the connect failed.
 type PendingChannel = Shared<BoxFuture<'static, Option<OpenChannel>>>;
 
@@ -343,40 +344,48 @@
         let connect_timeout = to_duration(self.settings().connect_timeout);
         let (slots, max_connections) = (self.transport.slots.clone(), self.settings().max_total);
         tokio::spawn(async move {
-            // Without an open connection the probe opens one, which holds a slot until the probe ends.
-            let slot = channel
-                .is_none()
-                .then(|| slots.try_acquire(max_connections));
-            let channel = match slot {
-                Some(Some(_)) => open_channel(endpoint, connect_timeout)
-                    .await
-                    .map(|opened| opened.channel),
-                _ => channel,
-            };
-            let probe = match channel {
+            let answer = match channel {
                 Some(channel) => request_load_report(channel, connect_timeout).await,
-                None => ProbeResult::ConnectFailed,
+                None => None,
+            };
+            let probe = match answer {
+                Some(probe) => probe,
+                // There was no open connection, or it takes no further calls.
+                None => match slots.try_acquire(max_connections) {
+                    Some(_slot) => probe_over_new_connection(endpoint, connect_timeout).await,
+                    None => ProbeResult::ConnectFailed,
+                },
             };
-            drop(slot);
             reporter.send(EngineReport::Probed(probe)).await;
         });
     }
 }
 
-async fn request_load_report(channel: Channel, time_limit: Duration) -> ProbeResult {
+async fn probe_over_new_connection(endpoint: String, connect_timeout: Duration) -> ProbeResult {
+    let Some(opened) = open_channel(endpoint, connect_timeout).await else {
+        return ProbeResult::ConnectFailed;
+    };
+    // A connection that closes at once is no sign of an engine that is up.
+    let answer = request_load_report(opened.channel, connect_timeout).await;
+    answer.unwrap_or(ProbeResult::Down)
+}
+
+/// Asks for a load report; `None` if the connection takes no further calls.
+async fn request_load_report(channel: Channel, time_limit: Duration) -> Option<ProbeResult> {
     let call = async {
         let mut results = client(channel)
             .do_action(Action::new(LOAD_REPORT_ACTION, ""))
             .await?;
         results.get_mut().message().await
     };
-    match timeout(time_limit, call).await {
+    Some(match timeout(time_limit, call).await {
         Err(_) => ProbeResult::TimedOut,
         Ok(Ok(result)) => ProbeResult::Up(result.and_then(|result| parse_load(&result.body))),
+        Ok(Err(status)) if is_unsent(&status) => return None,
         // The engine is up but does not support load reports.
         Ok(Err(status)) if status.code() == Code::Unimplemented => ProbeResult::Up(None),
         Ok(Err(_)) => ProbeResult::Down,
-    }
+    })
 }
 
 fn parse_load(body: &[u8]) -> Option<LoadReport> {
