Repeat a Flight SQL probe over a new connection however its open one has failed

Cause, from the status printed in 7 failures of 15 runs beside eight busy processes: the call was handed to the connection's task, which ended before it took the call ("operation was canceled", "connection closed"). Only a call that never reached the connection counted as unanswered.

Fix: a probe whose call failed in the transport, which the library tells by a source of the status, says nothing of the engine and is repeated over a new connection.

--- a/engines/src/flight.rs
+++ b/engines/src/flight.rs
@@ -11,7 +11,7 @@
 use crate::connection_slots::ConnectionSlot;
 use arrow_flight::Action;
 use attempt::AttemptTask;
-use connection::{OpenChannel, client, is_unsent, open_channel};
+use connection::{OpenChannel, client, is_transport_failure, open_channel};
 use futures::FutureExt;
 use futures::future::{BoxFuture, Shared};
 use sedgebeam_core::{AttemptNo, LoadReport, RequestId};
@@ -350,7 +350,7 @@
             };
             let probe = match answer {
                 Some(probe) => probe,
-                // There was no open connection, or it takes no further calls.
+                // There was no open connection, or it has just failed, which says nothing of the engine.
                 None => match slots.try_acquire(max_connections) {
                     Some(_slot) => probe_over_new_connection(endpoint, connect_timeout).await,
                     None => ProbeResult::ConnectFailed,
@@ -370,7 +370,7 @@
     answer.unwrap_or(ProbeResult::Down)
 }
 
-/// Asks for a load report; `None` if the connection takes no further calls.
+/// Asks for a load report; `None` if the connection failed before the answer.
 async fn request_load_report(channel: Channel, time_limit: Duration) -> Option<ProbeResult> {
     let call = async {
         let mut results = client(channel)
@@ -381,7 +381,7 @@
     Some(match timeout(time_limit, call).await {
         Err(_) => ProbeResult::TimedOut,
         Ok(Ok(result)) => ProbeResult::Up(result.and_then(|result| parse_load(&result.body))),
-        Ok(Err(status)) if is_unsent(&status) => return None,
+        Ok(Err(status)) if is_transport_failure(&status) => return None,
         // The engine is up but does not support load reports.
         Ok(Err(status)) if status.code() == Code::Unimplemented => ProbeResult::Up(None),
         Ok(Err(_)) => ProbeResult::Down,
--- a/engines/src/flight/connection.rs
+++ b/engines/src/flight/connection.rs
@@ -160,3 +160,8 @@
     }
     false
 }
+
+/// Whether the call failed on its way: the engine has not answered it. A status that the engine sent has no source.
+pub(super) fn is_transport_failure(status: &Status) -> bool {
+    status.source().is_some()
+}
