Review case 9: false estimates of work push a cold engine over

Cause: what a cold engine may get is counted by a mean of the clients' own estimates, without a bound. With cpu=0.001 from 100 clients an engine of 12 cores gets about 450 lookups in its first second, where it bears 241; with the true estimate it gets about 90.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review: `review-2 CASE FOLDER` plays one of them, writes `record.txt` to the folder, and ends with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod false_estimates;
 mod half_message;
 mod large_statements;
 mod refused_flood;
@@ -25,6 +26,7 @@
     };
     stand_ins::start_watchdog(&record);
     let verdict = match case.as_str() {
+        "false-estimates" => false_estimates::run(&record, has_trouble),
         "half-message" => half_message::run(&record, has_trouble),
         "large-statements" => large_statements::run(&record, has_trouble),
         "refused-flood" => refused_flood::run(&record, has_trouble),
