Review case 10: a change log that answers after 2.5 s is never heard

Cause: the limit of 1.8 s for silence on an open watch bounds the wait for the answer to a call too, at each try alike.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod half_message;
 mod large_statements;
 mod refused_flood;
+mod slow_discovery;
 mod stand_ins;
 
 use stand_ins::Record;
@@ -30,6 +31,7 @@
         "half-message" => half_message::run(&record, has_trouble),
         "large-statements" => large_statements::run(&record, has_trouble),
         "refused-flood" => refused_flood::run(&record, has_trouble),
+        "slow-discovery" => slow_discovery::run(&record, has_trouble),
         _ => return ExitCode::from(2),
     };
     match verdict {
