--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod false_estimates;
 mod half_message;
 mod large_statements;
+mod order_in_upgrade;
 mod refused_flood;
 mod slow_discovery;
 mod stand_ins;
@@ -30,6 +31,7 @@
         "false-estimates" => false_estimates::run(&record, has_trouble),
         "half-message" => half_message::run(&record, has_trouble),
         "large-statements" => large_statements::run(&record, has_trouble),
+        "order-in-upgrade" => order_in_upgrade::run(&record, has_trouble),
         "refused-flood" => refused_flood::run(&record, has_trouble),
         "slow-discovery" => slow_discovery::run(&record, has_trouble),
         _ => return ExitCode::from(2),
