Review case 7: messages that pin large buffers pass the memory limit

Cause: a short query that waits in the inbox of a session is a slice of the buffer of a long message before it and keeps all of it; the inbox counts the slice alone. 310 MB were reached where the platform didn't kill the process.

The stand-ins lose what only dropped cases used.

--- a/review/standins-2/large_statements.rs
+++ b/review/standins-2/pinned_buffers.rs
@@ -1,45 +1,61 @@
-//! Clients that send several large statements at once make the dispatcher grow beyond its memory limit.
+//! Clients that send unsupported messages between short queries make the dispatcher grow beyond its memory limit.
 
 use crate::Verdict;
 use crate::stand_ins::*;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 
-const MEMORY_MB: u64 = 32;
-const CLIENTS: usize = 500;
-/// Each message is shorter than the longest that the dispatcher takes with these limits.
-const STATEMENT_BYTES: usize = 17_000;
+const MEMORY_MB: u64 = 192;
+const CLIENTS: usize = 100;
+/// Pairs of a query and an unsupported message that a client sends ahead of the answer to its first query.
+const PAIRS: usize = 31;
+/// Shorter than the longest message that the dispatcher takes with these limits.
+const UNSUPPORTED_BYTES: usize = 100_000;
+
+fn query() -> Vec<u8> {
+    query_message(&statement("lookup", 2500, "", &new_id()))
+}
+
+/// A message of the extended query protocol (Parse), which is not served.
+fn unsupported(length: usize) -> Vec<u8> {
+    let mut message = vec![b'P'];
+    message.extend_from_slice(&(length as u32 + 4).to_be_bytes());
+    message.resize(message.len() + length, b'x');
+    message
+}
+
+fn bad_client(listen: SocketAddr, length: usize) -> std::io::Result<()> {
+    let mut client = Client::connect(listen)?;
+    client.stream.set_write_timeout(Some(ms(3000)))?;
+    client.stream.write_all(&query())?;
+    thread::sleep(ms(30));
+    for _ in 0..PAIRS {
+        client
+            .stream
+            .write_all(&[query(), unsupported(length)].concat())?;
+    }
+    client.read_answer(ms(4000));
+    Ok(())
+}
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Verdict {
     let mut site = Plans {
         memory_mb: MEMORY_MB,
-        behaviour: takes(4000),
+        behaviour: takes(2400),
         engines: 8,
         ..Plans::small()
     }
     .start(record)?;
     let listen = site.listen;
-    // Without the trouble the same clients send statements of the usual length.
-    let padding = if has_trouble { STATEMENT_BYTES } else { 0 };
+    // Without the trouble the same clients send as many messages, short ones.
+    let length = if has_trouble { UNSUPPORTED_BYTES } else { 100 };
     let threads: Vec<_> = (0..CLIENTS)
         .map(|_| {
             thread::spawn(move || {
                 for _ in 0..3 {
-                    let Ok(mut client) = Client::connect(listen) else {
-                        continue;
-                    };
-                    let query = || {
-                        let text = statement("lookup", 2500, "", &new_id());
-                        query_message(&format!("{text} -- {}", "x".repeat(padding)))
-                    };
-                    let _ = client.stream.set_write_timeout(Some(ms(2000)));
-                    // Three at once; of the third the end is still on its way.
-                    let mut messages = [query(), query()].concat();
-                    let third = query();
-                    messages.extend_from_slice(&third[..third.len() - 10]);
-                    let _ = client.stream.write_all(&messages);
-                    let _ = client.read_answer(ms(3000));
+                    let _ = bad_client(listen, length);
                 }
             })
         })
--- a/review/standins-2/stand_ins.rs
+++ b/review/standins-2/stand_ins.rs
@@ -5,7 +5,6 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -94,7 +93,6 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub id: String,
-    pub fields: HashMap<String, String>,
     pub came_at: u64,
     pub ended_at: Option<u64>,
     pub end: &'static str,
@@ -104,8 +102,6 @@
     pub uid: String,
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Seen>>>,
-    /// A draining engine answers BUSY to what is new.
-    pub is_draining: Arc<AtomicBool>,
 }
 
 fn read_line(reader: &mut impl BufRead) -> io::Result<String> {
@@ -163,16 +159,15 @@
             uid: uid.to_string(),
             address: listener.local_addr()?,
             seen: Arc::default(),
-            is_draining: Arc::default(),
         };
-        let (seen, is_draining) = (engine.seen.clone(), engine.is_draining.clone());
+        let seen = engine.seen.clone();
         let (uid, record) = (uid.to_string(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (uid, record, behaviour) = (uid.clone(), record.clone(), behaviour.clone());
-                let (seen, is_draining) = (seen.clone(), is_draining.clone());
+                let seen = seen.clone();
                 thread::spawn(move || {
-                    let _ = serve_engine(stream, uid, record, behaviour, seen, is_draining);
+                    let _ = serve_engine(stream, uid, record, behaviour, seen);
                 });
             }
         });
@@ -186,7 +181,6 @@
     record: Arc<Record>,
     behaviour: Behaviour,
     seen: Arc<Mutex<Vec<Seen>>>,
-    is_draining: Arc<AtomicBool>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let writer = Arc::new(Mutex::new(stream.try_clone()?));
@@ -221,22 +215,12 @@
                     let mut seen = seen.lock().unwrap();
                     seen.push(Seen {
                         id: id.clone(),
-                        fields: fields.clone(),
                         came_at: record.now_ms(),
                         ended_at: None,
                         end: "",
                     });
                     seen.len() - 1
                 };
-                if is_draining.load(Ordering::SeqCst) {
-                    record.line(&format!("engine {uid}: BUSY {id} (draining)"));
-                    end(&seen, index, "BUSY", record.now_ms());
-                    writer
-                        .lock()
-                        .unwrap()
-                        .write_all(&resp(&[&id, "BUSY", "-", ""]))?;
-                    continue;
-                }
                 let is_stopped = Arc::new(AtomicBool::new(false));
                 running
                     .lock()
@@ -299,8 +283,6 @@
 struct LogState {
     /// Events by their number, as JSON.
     events: Vec<(u64, String)>,
-    /// How long a call waits for its answer.
-    delay: Duration,
 }
 
 pub struct ChangeLog {
@@ -351,11 +333,6 @@
         self.state.0.lock().unwrap().events.push((seq, event));
         self.state.1.notify_all();
     }
-
-    /// Calls are answered only after this time.
-    pub fn set_delay(&self, delay: Duration) {
-        self.state.0.lock().unwrap().delay = delay;
-    }
 }
 
 fn serve_log(
@@ -382,8 +359,6 @@
         }
     }
     record.line(&format!("change log: {first_line} after {last_id}"));
-    let delay = state.0.lock().unwrap().delay;
-    thread::sleep(delay);
     writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
     let mut commented_at = Instant::now();
     loop {
@@ -419,6 +394,8 @@
 
 pub struct Client {
     pub stream: TcpStream,
+    /// The key of the session, for a CancelRequest.
+    pub key: Vec<u8>,
 }
 
 /// A statement with its fields.
@@ -458,9 +435,14 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(ms(5000)))?;
         stream.write_all(&startup_message())?;
-        let mut client = Client { stream };
+        let mut client = Client {
+            stream,
+            key: Vec::new(),
+        };
         loop {
-            match client.read_message()?.0 {
+            let (kind, body) = client.read_message()?;
+            match kind {
+                b'K' => client.key = body,
                 b'Z' => return Ok(client),
                 b'E' => return Err(io::Error::other("refused at the start")),
                 _ => {}
@@ -558,9 +540,8 @@
 
 // ---- The platform ----
 
-/// The settings of a small deployment, in the form and with the values of the published example. `load_keys` are further
-/// keys of the class `journal-load`.
-pub fn settings(load_keys: &str) -> String {
+/// The settings of a small deployment, in the form and with the values of the published example.
+fn settings() -> String {
     format!(
         r#"{{"balancers":1,"clients":{{"marks_retry":false}},
 "domain":{{"class_load":[false,false,true],"class_waits":[true,true,false],"max_grant_share":0.4,
@@ -582,7 +563,7 @@
  {{"aim_stretch":2.5,"effect":"repeatable","give_up":25000.0,"group":"all","late_share":0.3,"name":"report","on_time":3000.0,
   "stream":false,"window":5000.0,"worth":12.0}},
  {{"aim_stretch":2.5,"effect":"once","give_up":25000.0,"group":"all","late_share":0.6,"name":"journal-load","on_time":3000.0,
-  "stream":false,"window":5000.0,"worth":12.0{load_keys}}}],
+  "stream":false,"window":5000.0,"worth":12.0}}],
 "telemetry":{{"fields":["cpu"],"how":"pull"}},
 "tenants":[{{"allowance_per_s":117.0,"name":"fraser-cpa","portion":0.62}},
  {{"allowance_per_s":49.0,"name":"island-ledger","portion":0.26}},
@@ -641,38 +622,21 @@
 }
 
 impl Dispatcher {
-    /// Starts the command of the deploy file. With a passed socket, that is the clients' listening socket, as
-    /// descriptor 7.
-    pub fn start(
-        folder: &Path,
-        name: &str,
-        listen: SocketAddr,
-        control: SocketAddr,
-        passed_socket: Option<&TcpListener>,
-    ) -> io::Result<Dispatcher> {
-        let log = File::create(folder.join(format!("{name}.log")))?;
+    /// Starts the command of the deploy file.
+    fn start(folder: &Path, listen: SocketAddr, control: SocketAddr) -> io::Result<Dispatcher> {
+        let log = File::create(folder.join("n1.log"))?;
         let run = run_command()?;
         let mut command = Command::new("/bin/sh");
         command
+            .args(["-c", &run])
             .env("PROXY_NAME", "n1")
             .env("PROXY_LISTEN", listen.to_string())
             .env("PROXY_CONTROL", control.to_string())
             .env("PROXY_CONFIG", folder.join("config.json"))
             .env("TMPDIR", folder.join("tmp"))
+            .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
-        match passed_socket {
-            Some(socket) => {
-                let socket: OwnedFd = socket.try_clone()?.into();
-                command
-                    .env("PROXY_PASSED_SOCKET", "7")
-                    .stdin(Stdio::from(socket))
-                    .args(["-c", &format!("exec 7<&0 </dev/null; {run}")]);
-            }
-            None => {
-                command.stdin(Stdio::null()).args(["-c", &run]);
-            }
-        }
         let child = command.spawn()?;
         STARTED.lock().unwrap().push(child.id());
         Ok(Dispatcher { child, control })
@@ -744,7 +708,7 @@
     pub engines: Vec<Engine>,
     pub log: ChangeLog,
     pub listen: SocketAddr,
-    pub folder: TempFolder,
+    _folder: TempFolder,
 }
 
 /// What a site is made of.
@@ -753,11 +717,6 @@
     pub behaviour: Behaviour,
     pub memory_mb: u64,
     pub sockets: u64,
-    pub load_keys: &'static str,
-    /// How long the change log takes to answer a call.
-    pub log_delay: Duration,
-    /// Clients are accepted from this socket, which the platform holds.
-    pub passed_socket: Option<TcpListener>,
 }
 
 impl Plans {
@@ -767,9 +726,6 @@
             behaviour: takes(80),
             memory_mb: 192,
             sockets: 1024,
-            load_keys: "",
-            log_delay: Duration::ZERO,
-            passed_socket: None,
         }
     }
 
@@ -784,22 +740,16 @@
         let targets: Vec<String> = engines.iter().map(|engine| target(engine, "up")).collect();
         let first_event = event(1, true, &targets);
         let log = ChangeLog::start(record, &first_event)?;
-        log.set_delay(self.log_delay);
-        let listen = match &self.passed_socket {
-            Some(socket) => socket.local_addr()?,
-            None => free_address()?,
-        };
-        let control = free_address()?;
+        let (listen, control) = (free_address()?, free_address()?);
         let config = Config {
             memory_mb: self.memory_mb,
             sockets: self.sockets,
             changelog: log.address,
             first_event,
-            settings: settings(self.load_keys),
+            settings: settings(),
         };
         fs::write(folder.0.join("config.json"), config.json(listen, control))?;
-        let socket = self.passed_socket.as_ref();
-        let dispatcher = Dispatcher::start(&folder.0, "n1", listen, control, socket)?;
+        let dispatcher = Dispatcher::start(&folder.0, listen, control)?;
         dispatcher.wait_until_ready()?;
         record.line("the dispatcher is ready");
         Ok(Site {
@@ -807,7 +757,7 @@
             engines,
             log,
             listen,
-            folder,
+            _folder: folder,
         })
     }
 }
