--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,9 +1,9 @@
 //! The cases of the review: `review-2 CASE FOLDER` plays one of them, writes `record.txt` to the folder, and ends with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
-mod cancel_after_sigterm;
 mod false_estimates;
 mod half_message;
+mod order_in_upgrade;
 mod pinned_buffers;
 mod refused_flood;
 mod stand_ins;
@@ -28,8 +28,8 @@
     stand_ins::start_watchdog(&record);
     let verdict = match case.as_str() {
         "false-estimates" => false_estimates::run(&record, has_trouble),
-        "cancel-after-sigterm" => cancel_after_sigterm::run(&record, has_trouble),
         "half-message" => half_message::run(&record, has_trouble),
+        "order-in-upgrade" => order_in_upgrade::run(&record, has_trouble),
         "pinned-buffers" => pinned_buffers::run(&record, has_trouble),
         "refused-flood" => refused_flood::run(&record, has_trouble),
         _ => return ExitCode::from(2),
--- a/review/standins-2/stand_ins.rs
+++ b/review/standins-2/stand_ins.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -93,6 +94,7 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub id: String,
+    pub fields: HashMap<String, String>,
     pub came_at: u64,
     pub ended_at: Option<u64>,
     pub end: &'static str,
@@ -215,6 +217,7 @@
                     let mut seen = seen.lock().unwrap();
                     seen.push(Seen {
                         id: id.clone(),
+                        fields: fields.clone(),
                         came_at: record.now_ms(),
                         ended_at: None,
                         end: "",
@@ -540,8 +543,9 @@
 
 // ---- The platform ----
 
-/// The settings of a small deployment, in the form and with the values of the published example.
-fn settings() -> String {
+/// The settings of a small deployment, in the form and with the values of the published example. `load_keys` are further
+/// keys of the class `journal-load`.
+fn settings(load_keys: &str) -> String {
     format!(
         r#"{{"balancers":1,"clients":{{"marks_retry":false}},
 "domain":{{"class_load":[false,false,true],"class_waits":[true,true,false],"max_grant_share":0.4,
@@ -563,7 +567,7 @@
  {{"aim_stretch":2.5,"effect":"repeatable","give_up":25000.0,"group":"all","late_share":0.3,"name":"report","on_time":3000.0,
   "stream":false,"window":5000.0,"worth":12.0}},
  {{"aim_stretch":2.5,"effect":"once","give_up":25000.0,"group":"all","late_share":0.6,"name":"journal-load","on_time":3000.0,
-  "stream":false,"window":5000.0,"worth":12.0}}],
+  "stream":false,"window":5000.0,"worth":12.0{load_keys}}}],
 "telemetry":{{"fields":["cpu"],"how":"pull"}},
 "tenants":[{{"allowance_per_s":117.0,"name":"fraser-cpa","portion":0.62}},
  {{"allowance_per_s":49.0,"name":"island-ledger","portion":0.26}},
@@ -622,21 +626,36 @@
 }
 
 impl Dispatcher {
-    /// Starts the command of the deploy file.
-    fn start(folder: &Path, listen: SocketAddr, control: SocketAddr) -> io::Result<Dispatcher> {
-        let log = File::create(folder.join("n1.log"))?;
+    /// Starts the command of the deploy file. A passed socket is the clients' listening socket, as descriptor 7.
+    pub fn start(
+        folder: &Path,
+        listen: SocketAddr,
+        control: SocketAddr,
+        passed_socket: Option<&TcpListener>,
+    ) -> io::Result<Dispatcher> {
+        let log = File::create(folder.join(format!("{}.log", control.port())))?;
         let run = run_command()?;
         let mut command = Command::new("/bin/sh");
         command
-            .args(["-c", &run])
             .env("PROXY_NAME", "n1")
             .env("PROXY_LISTEN", listen.to_string())
             .env("PROXY_CONTROL", control.to_string())
             .env("PROXY_CONFIG", folder.join("config.json"))
             .env("TMPDIR", folder.join("tmp"))
-            .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
+        match passed_socket {
+            Some(socket) => {
+                let socket: OwnedFd = socket.try_clone()?.into();
+                command
+                    .env("PROXY_PASSED_SOCKET", "7")
+                    .stdin(Stdio::from(socket))
+                    .args(["-c", &format!("exec 7<&0 </dev/null; {run}")]);
+            }
+            None => {
+                command.stdin(Stdio::null()).args(["-c", &run]);
+            }
+        }
         let child = command.spawn()?;
         STARTED.lock().unwrap().push(child.id());
         Ok(Dispatcher { child, control })
@@ -708,7 +727,7 @@
     pub engines: Vec<Engine>,
     pub log: ChangeLog,
     pub listen: SocketAddr,
-    _folder: TempFolder,
+    pub folder: TempFolder,
 }
 
 /// What a site is made of.
@@ -717,6 +736,9 @@
     pub behaviour: Behaviour,
     pub memory_mb: u64,
     pub sockets: u64,
+    pub load_keys: &'static str,
+    /// Clients are accepted from this socket, which the platform holds.
+    pub passed_socket: Option<TcpListener>,
 }
 
 impl Plans {
@@ -726,6 +748,8 @@
             behaviour: takes(80),
             memory_mb: 192,
             sockets: 1024,
+            load_keys: "",
+            passed_socket: None,
         }
     }
 
@@ -740,16 +764,21 @@
         let targets: Vec<String> = engines.iter().map(|engine| target(engine, "up")).collect();
         let first_event = event(1, true, &targets);
         let log = ChangeLog::start(record, &first_event)?;
-        let (listen, control) = (free_address()?, free_address()?);
+        let listen = match &self.passed_socket {
+            Some(socket) => socket.local_addr()?,
+            None => free_address()?,
+        };
+        let control = free_address()?;
         let config = Config {
             memory_mb: self.memory_mb,
             sockets: self.sockets,
             changelog: log.address,
             first_event,
-            settings: settings(),
+            settings: settings(self.load_keys),
         };
         fs::write(folder.0.join("config.json"), config.json(listen, control))?;
-        let dispatcher = Dispatcher::start(&folder.0, listen, control)?;
+        let dispatcher =
+            Dispatcher::start(&folder.0, listen, control, self.passed_socket.as_ref())?;
         dispatcher.wait_until_ready()?;
         record.line("the dispatcher is ready");
         Ok(Site {
@@ -757,7 +786,7 @@
             engines,
             log,
             listen,
-            _folder: folder,
+            folder,
         })
     }
 }
