--- a/review/standins-2/half_message.rs
+++ b/review/standins-2/half_message.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-const CLIENTS: u64 = 80;
+const CLIENTS: u64 = 200;
 /// Between the two halves of a message of a client that writes slowly.
 const PAUSE: Duration = ms(250);
 /// A request that crosses the close of a connection within this time is sent again by its client.
