Cancel the timers of requests and attempts when they end

Cause: the broker's timers at the deadline of a request and at the time limit of an attempt stayed until they fired, though their request had ended, so their number was the rate of requests times their longest deadline.

Change: setting a timer returns a key, and what ends cancels its timers.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -9,13 +9,14 @@
 pub mod shards;
 #[cfg(test)]
 mod tests;
+mod timers;
 
 use admin::Tally;
 use engines::{KnownEngine, probe_outcome};
 use requests::{InFlightAttempt, OpenRequest, PendingAbort};
 use sedgebeam_core::{
     Action, AttemptEnded, AttemptNo, Effect, EngineId, Event, Gateway, HandoverState, Key, Micros,
-    Outcome, Query, RequestId, Settings, ShardUsage, TimerId,
+    Outcome, Query, RequestId, Settings, ShardUsage,
 };
 use sedgebeam_operation::{Metrics, metrics};
 use sedgebeam_port::clock::{Clock, to_duration, to_micros};
@@ -30,6 +31,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
+use timers::{BrokerTimer, Timers};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -43,17 +45,6 @@
 /// Maximum number of messages handled before the gateway gets the next batch of events.
 const MAX_MESSAGES_PER_BATCH: usize = 2048;
 
-/// What to do when a timer fires. Timers of a request carry its deadline, because its id may have been reused.
-#[derive(Clone, Copy, Debug)]
-enum BrokerTimer {
-    Gateway(TimerId),
-    AttemptTimeout(RequestId, Instant, AttemptNo),
-    /// The confirmation of an abort is overdue.
-    AbortTimeout(RequestId, Instant, AttemptNo),
-    /// The final answer is overdue.
-    AnswerTimeout(RequestId, Instant),
-}
-
 /// The broker's state.
 pub struct Broker {
     gateway: Gateway,
@@ -83,9 +74,7 @@
     events: Vec<Event>,
     /// Requests that are answered and have no attempt in flight, removed after the next batch.
     finished_requests: Vec<RequestId>,
-    /// Timers by their time and the order in which they were set.
-    timers: BTreeMap<(Instant, u64), BrokerTimer>,
-    timer_count: u64,
+    timers: Timers,
     last_batch_at: Option<Instant>,
 }
 
@@ -131,8 +120,7 @@
         reported_engines: metrics::ShardEngines::default(),
         events: Vec::new(),
         finished_requests: Vec::new(),
-        timers: BTreeMap::new(),
-        timer_count: 0,
+        timers: Timers::default(),
         last_batch_at: None,
     };
     (broker, own_sender, incoming)
@@ -200,7 +188,7 @@
         let batch_at = self
             .has_pending_events()
             .then(|| self.next_batch_at(Instant::now()));
-        let timer_at = self.timers.first_key_value().map(|((at, _), _)| *at);
+        let timer_at = self.timers.next_at();
         let heartbeat_at = self
             .shard
             .as_ref()
@@ -217,48 +205,21 @@
         self.capacity_released || !self.events.is_empty()
     }
 
-    fn set_timer(&mut self, at: Instant, timer: BrokerTimer) {
-        self.timer_count += 1;
-        self.timers.insert((at, self.timer_count), timer);
-    }
-
     fn fire_timers(&mut self, now: Instant) {
-        while let Some(first) = self
-            .timers
-            .first_entry()
-            .filter(|first| first.key().0 <= now)
-        {
-            match first.remove() {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
                 BrokerTimer::Gateway(timer) => self.events.push(Event::Timer(timer)),
-                // A finished request's id may have been reused by a request with another deadline.
-                BrokerTimer::AttemptTimeout(id, deadline, attempt_no)
-                    if self.is_open_with_deadline(id, deadline) =>
-                {
+                BrokerTimer::AttemptTimeout(id, attempt_no) => {
                     self.attempt_timed_out(id, attempt_no, now);
                 }
-                BrokerTimer::AbortTimeout(id, deadline, attempt_no)
-                    if self.is_open_with_deadline(id, deadline) =>
-                {
+                BrokerTimer::AbortTimeout(id, attempt_no) => {
                     self.abort_timed_out(id, attempt_no, now);
                 }
-                BrokerTimer::AnswerTimeout(id, deadline)
-                    if self.is_open_with_deadline(id, deadline) =>
-                {
-                    self.answer_overdue(id)
-                }
-                BrokerTimer::AttemptTimeout(..)
-                | BrokerTimer::AbortTimeout(..)
-                | BrokerTimer::AnswerTimeout(..) => {}
+                BrokerTimer::AnswerTimeout(id) => self.answer_overdue(id),
             }
         }
     }
 
-    /// Whether the open request with this id is the one with this deadline.
-    fn is_open_with_deadline(&self, id: RequestId, deadline: Instant) -> bool {
-        let request = self.open_requests.get(&id);
-        request.is_some_and(|request| request.deadline == deadline)
-    }
-
     /// Passes the collected events to the gateway and executes its actions.
     fn process_batch(&mut self, now: Instant) {
         self.last_batch_at = Some(now);
@@ -369,7 +330,7 @@
             }
             Action::Timer { timer, at } => {
                 let at = self.clock.instant(at);
-                self.set_timer(at, BrokerTimer::Gateway(timer));
+                self.timers.set(at, BrokerTimer::Gateway(timer));
             }
             Action::Probe { engine } => self.probe(engine),
             // A separate task follows the change log.
@@ -519,12 +480,11 @@
             is_retry: request.is_retry,
         }));
         let slack = to_duration(self.settings.answer_slack);
-        self.set_timer(
-            request.deadline + slack,
-            BrokerTimer::AnswerTimeout(id, request.deadline),
-        );
+        let answer_timer = self
+            .timers
+            .set(request.deadline + slack, BrokerTimer::AnswerTimeout(id));
         self.open_requests
-            .insert(id, OpenRequest::new(request, tenant, reply));
+            .insert(id, OpenRequest::new(request, tenant, reply, answer_timer));
     }
 
     /// Sends the final answer, unless the request has been answered.
@@ -535,6 +495,7 @@
         let Some(reply) = request.reply.take() else {
             return;
         };
+        self.timers.cancel(request.answer_timer);
         let class = &self.class_names[request.class.0];
         let tenant = request
             .tenant
@@ -687,13 +648,11 @@
             mailbox,
             sent_at: now,
             cancel_token,
+            timeout_timer: self
+                .timers
+                .set(now + timeout, BrokerTimer::AttemptTimeout(id, attempt_no)),
             abort: None,
         }));
-        let deadline = request.deadline;
-        self.set_timer(
-            now + timeout,
-            BrokerTimer::AttemptTimeout(id, deadline, attempt_no),
-        );
     }
 
     /// Reports the outcome of an attempt to the gateway.
@@ -721,11 +680,15 @@
         self.schedule_removal_if_finished(id);
     }
 
-    /// Removes an attempt that is in flight and cancels its token, so that nothing more of it is written.
+    /// Removes an attempt that is in flight and cancels its timers and its token, so that nothing more of it is written.
     fn remove_attempt(&mut self, id: RequestId, attempt_no: AttemptNo) -> Option<InFlightAttempt> {
         let request = self.open_requests.get_mut(&id)?;
         let attempt = request.attempts.get_mut(attempt_no.0 as usize)?.take()?;
         attempt.cancel_token.cancel();
+        self.timers.cancel(attempt.timeout_timer);
+        if let Some(confirmation_timer) = attempt.abort.and_then(|abort| abort.confirmation_timer) {
+            self.timers.cancel(confirmation_timer);
+        }
         Some(attempt)
     }
 
@@ -761,20 +724,20 @@
             return;
         }
         attempt.cancel_token.cancel();
+        // No attempt follows after the deadline.
+        let expires_at = deadline.min(now + ABORT_TIMEOUT);
+        let confirmation_timer = (!is_final_attempt).then(|| {
+            self.timers
+                .set(expires_at, BrokerTimer::AbortTimeout(id, attempt_no))
+        });
         attempt.abort = Some(PendingAbort {
             outcome,
             aborted_at: now,
+            confirmation_timer,
         });
         send_command(&attempt.mailbox, EngineCommand::Abort(id, attempt_no));
         if is_final_attempt {
             self.abort_confirmed(id, attempt_no);
-        } else {
-            // No attempt follows after the deadline.
-            let expires_at = deadline.min(now + ABORT_TIMEOUT);
-            self.set_timer(
-                expires_at,
-                BrokerTimer::AbortTimeout(id, deadline, attempt_no),
-            );
         }
     }
 
@@ -795,6 +758,7 @@
             && let Some(PendingAbort {
                 outcome,
                 aborted_at,
+                ..
             }) = attempt.abort
         {
             self.report_outcome(
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -1,5 +1,6 @@
 //! Open requests and their attempts.
 
+use crate::timers::TimerKey;
 use bytes::Bytes;
 use sedgebeam_core::{AttemptNo, ClassId, EngineId, Outcome, TenantId};
 use sedgebeam_port::{Answer, EngineSender, NewRequest};
@@ -16,6 +17,8 @@
     pub sent_at: Instant,
     /// Cancelled once the attempt has ended, so that nothing more of it is written.
     pub cancel_token: CancellationToken,
+    /// Aborts the attempt when its time limit has passed.
+    pub timeout_timer: TimerKey,
     /// Set if the attempt is aborted and its engine's actor has not confirmed that yet.
     pub abort: Option<PendingAbort>,
 }
@@ -25,6 +28,8 @@
 pub struct PendingAbort {
     pub outcome: Outcome,
     pub aborted_at: Instant,
+    /// Ends the wait for the confirmation; `None` if no other attempt may follow.
+    pub confirmation_timer: Option<TimerKey>,
 }
 
 /// A request that is not answered yet or still has an attempt in flight.
@@ -34,6 +39,8 @@
     pub class: ClassId,
     pub tenant: Option<TenantId>,
     pub deadline: Instant,
+    /// Answers the request if the gateway has not done so in time.
+    pub answer_timer: TimerKey,
     pub statement: Bytes,
     pub idempotency_token: Option<Arc<str>>,
     pub order_key: Option<Arc<str>>,
@@ -52,12 +59,14 @@
         request: NewRequest,
         tenant: Option<TenantId>,
         reply: oneshot::Sender<Answer>,
+        answer_timer: TimerKey,
     ) -> OpenRequest {
         OpenRequest {
             reply: Some(reply),
             class: request.class,
             tenant,
             deadline: request.deadline,
+            answer_timer,
             statement: request.statement,
             idempotency_token: request.idempotency_token,
             order_key: request.order_key,
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -816,3 +816,45 @@
         assert!(age >= Micros::from_millis(3_600_000), "{age:?}");
     });
 }
+
+/// Guards against timers that outlive what they guard: clients that ask again as soon as they are refused made the
+/// dispatcher exceed its memory limit.
+#[test]
+fn requests_that_have_ended_leave_no_timers() {
+    let refusal = || Answer::Refused {
+        retry_after: Duration::ZERO,
+    };
+    run_in_runtime(|| {
+        let ends: [fn(&mut Fixture, Answer); 5] = [
+            |fixture, refusal| fixture.broker.send_answer(ID, refusal),
+            |fixture, _| {
+                fixture.send();
+                fixture.end(success());
+            },
+            |fixture, refusal| {
+                fixture.send();
+                fixture.end(AttemptResult::Busy);
+                fixture.broker.send_answer(ID, refusal);
+            },
+            |fixture, refusal| {
+                fixture.send();
+                fixture.broker.attempt_timed_out(ID, FIRST, Instant::now());
+                fixture.broker.handle_message(abort_confirmation(0));
+                fixture.broker.send_answer(ID, refusal);
+            },
+            |fixture, _| {
+                fixture.send();
+                fixture.broker.client_left(ID, Failure::Cancelled);
+                fixture.broker.cancel_attempt(ID, FIRST, Instant::now());
+            },
+        ];
+        for (case, end) in ends.into_iter().enumerate() {
+            let mut fixture = repeatable_fixture();
+            end(&mut fixture, refusal());
+            fixture.broker.process_batch(Instant::now());
+            assert!(fixture.broker.open_requests.is_empty(), "case {case}");
+            // The gateway's own timer may be set.
+            assert!(fixture.broker.timers.len() <= 1, "case {case}");
+        }
+    });
+}
