Keep one entry for each batch in the window of the attempt budget

Related to the timers of refused requests: where the settings have a budget for further attempts, each request left an entry for the length of the window, and adding one read them all. With 20,000 refused requests a second that is as many entries a second, each read by each later request: the square of a rate that clients decide.

Cause: an entry for each event, removed by a pass over all. Change: events of the same time share an entry, and expired entries are taken from the front. Counts are the same.

the_window_of_the_attempt_budget_does_not_grow_with_the_rate_of_requests failed before (20,000 entries for 100 batches), passes with it.

--- a/src/state.rs
+++ b/src/state.rs
@@ -242,23 +242,31 @@
     }
 }
 
-/// The times of events within a window that ends now. Older ones are removed when one is added.
+/// Counts events within a window that ends now. Events of the same time share an entry, so that the number
+/// of entries is bounded by the window over the tick, and not by the rate of the events.
 #[derive(Default)]
-pub(crate) struct SlidingWindow(VecDeque<Micros>);
+pub(crate) struct SlidingWindow(VecDeque<(Micros, u32)>);
 
 impl SlidingWindow {
-    /// Number of times kept, including those that have left the window since the last addition.
+    /// Number of entries kept, including those that have left the window since the last addition.
     pub fn len(&self) -> usize {
         self.0.len()
     }
 
+    /// Counts an event; `now` is not before that of an earlier call.
     pub fn add(&mut self, now: Micros, window: Micros) {
-        self.0.retain(|at| *at + window > now);
-        self.0.push_back(now);
+        while self.0.front().is_some_and(|(at, _)| *at + window <= now) {
+            self.0.pop_front();
+        }
+        match self.0.back_mut().filter(|(at, _)| *at == now) {
+            Some((_, count)) => *count += 1,
+            None => self.0.push_back((now, 1)),
+        }
     }
 
     pub fn count(&self, now: Micros, window: Micros) -> f64 {
-        self.0.iter().filter(|at| **at + window > now).count() as f64
+        let recent = self.0.iter().filter(|(at, _)| *at + window > now);
+        recent.map(|(_, count)| f64::from(*count)).sum()
     }
 }
 
--- a/tests/bounded_state.rs
+++ b/tests/bounded_state.rs
@@ -87,6 +87,29 @@
     );
 }
 
+/// Guards against a window of the attempt budget that grows with the rate of requests: each request read all of it.
+#[test]
+fn the_window_of_the_attempt_budget_does_not_grow_with_the_rate_of_requests() {
+    let settings = Settings {
+        attempt_budget: Some(AttemptBudget {
+            window: ms(1000),
+            free_attempts: 10.0,
+            extra_per_request: 0.2,
+        }),
+        ..settings()
+    };
+    let mut harness = Harness::new(settings);
+    let (batches, batch_size) = (100, 200);
+    for batch in 0..batches {
+        harness.now = harness.now + ms(5);
+        let ids = (0..batch_size).map(|number| 1 + batch * batch_size + number);
+        let requests = ids.map(|id| Event::Request(query(id, LIGHT)));
+        harness.handle_all(requests.collect());
+    }
+    let sizes = harness.gateway.state_sizes();
+    assert!(sizes.recent_entries <= batches as usize, "{sizes:?}");
+}
+
 /// Number of attempts of each request.
 type AttemptCounts = std::collections::HashMap<u64, u32>;
 
