Copy queries out of the read buffer, and bound what a session holds

Cause: a decoded message was a slice of the read buffer and kept all of it, while the inbox counted its length alone, and other messages as nothing. The buffer also doubled and stayed, and the running statement, the queue and the message that is being received had a bound each.

Change: queries are copied, nothing is kept of other messages, a long message has a buffer of its own length that is released with it, and all statements of a session share one bound. Two long statements sent ahead of an answer end their session now, as three did; PROTOCOL has clients send one at a time.

--- a/fronts/src/pg/codec.rs
+++ b/fronts/src/pg/codec.rs
@@ -7,6 +7,9 @@
 
 /// Bound on the length of a startup packet.
 const MAX_STARTUP_BYTES: usize = 10_000;
+/// Initial capacity of a connection's read buffer. A longer message gets a buffer of its own length, which is released
+/// with the message.
+pub const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// The number of columns of every result.
 pub const COLUMN_COUNT: usize = 3;
 
@@ -75,7 +78,29 @@
         }
     }
 
-    fn decode_startup(&mut self, mut body: Bytes) -> io::Result<ClientMessage> {
+    /// Changes the bound on the length of the messages that follow the startup.
+    pub fn set_max_message_bytes(&mut self, max_message_bytes: usize) {
+        self.max_message_bytes = max_message_bytes;
+    }
+
+    fn decode_message(&mut self, message_type: u8, body: &[u8]) -> io::Result<ClientMessage> {
+        if !self.is_started {
+            return self.decode_startup(body);
+        }
+        Ok(match message_type {
+            b'Q' => {
+                let end = body.iter().position(|byte| *byte == 0);
+                let end = end.ok_or_else(|| invalid_data("a query without end"))?;
+                // A slice would keep the whole read buffer for as long as the statement waits.
+                ClientMessage::Query(Bytes::copy_from_slice(&body[..end]))
+            }
+            b'S' => ClientMessage::Sync,
+            b'X' => ClientMessage::Terminate,
+            other => ClientMessage::Other(other),
+        })
+    }
+
+    fn decode_startup(&mut self, mut body: &[u8]) -> io::Result<ClientMessage> {
         let code = body
             .try_get_u32()
             .map_err(|_| invalid_data("a start without a version"))?;
@@ -114,30 +139,36 @@
         if !(4..=max_length).contains(&length) {
             return Err(invalid_data("a message of an impossible length"));
         }
-        if bytes.len() < type_bytes + length {
-            bytes.reserve(type_bytes + length - bytes.len());
+        let total_length = type_bytes + length;
+        if bytes.len() < total_length {
+            grow_to(bytes, total_length);
             return Ok(None);
         }
-        let mut message = bytes.split_to(type_bytes + length).freeze();
-        let message_type = message[0];
-        message.advance(type_bytes + 4);
-        if !self.is_started {
-            return self.decode_startup(message).map(Some);
+        let message = self.decode_message(bytes[0], &bytes[type_bytes + 4..total_length])?;
+        bytes.advance(total_length);
+        if total_length > READ_BUFFER_BYTES {
+            release_large_buffer(bytes);
         }
-        Ok(Some(match message_type {
-            b'Q' => {
-                let end = message.iter().position(|byte| *byte == 0);
-                ClientMessage::Query(
-                    message.slice(..end.ok_or_else(|| invalid_data("a query without end"))?),
-                )
-            }
-            b'S' => ClientMessage::Sync,
-            b'X' => ClientMessage::Terminate,
-            other => ClientMessage::Other(other),
-        }))
+        Ok(Some(message))
     }
 }
 
+/// Makes room for a message of this length, and for no more than that: `reserve` alone may double the buffer.
+fn grow_to(bytes: &mut BytesMut, length: usize) {
+    if length > bytes.capacity() {
+        let mut grown = BytesMut::with_capacity(length.max(READ_BUFFER_BYTES));
+        grown.extend_from_slice(bytes);
+        *bytes = grown;
+    }
+}
+
+/// Replaces a buffer that has grown for one message; the bytes of the next message are kept.
+fn release_large_buffer(bytes: &mut BytesMut) {
+    let mut released = BytesMut::with_capacity(READ_BUFFER_BYTES.max(bytes.len()));
+    released.extend_from_slice(bytes);
+    *bytes = released;
+}
+
 /// Writes a message: its type, its length and its body.
 fn put_message(bytes: &mut BytesMut, message_type: u8, body: impl FnOnce(&mut BytesMut)) {
     bytes.put_u8(message_type);
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -302,18 +302,27 @@
         if let Some(received) = self.inbox.pop() {
             return Ok(Some(received));
         }
+        self.limit_next_message();
         let message = tokio::select! {
             biased;
             message = read_message(&mut self.connection) => message?,
             () = self.drain.wait_for_idle_close() => return Ok(None),
         };
         self.client_closed = message.is_none();
-        Ok(message.map(ReceivedMessage::now))
+        Ok(message.map(|message| self.inbox.take_directly(message)))
+    }
+
+    /// Limits the next message to the memory that the session has left for statements.
+    fn limit_next_message(&mut self) {
+        let available_bytes = self.inbox.available_bytes();
+        let codec = self.connection.codec_mut();
+        codec.set_max_message_bytes(available_bytes);
     }
 
     /// Reads messages from the client into the inbox; ready once the client has disconnected.
     fn poll_inbox(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
+            self.limit_next_message();
             match Pin::new(&mut self.connection).poll_next(context) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(Ok(ClientMessage::Terminate)) | None) => {
@@ -359,9 +368,12 @@
             let message = match self.inbox.pop() {
                 Some(received) => Some(received.message),
                 None if self.client_closed => None,
-                None => poll_once(self.connection.next())
-                    .flatten()
-                    .and_then(Result::ok),
+                None => {
+                    self.limit_next_message();
+                    poll_once(self.connection.next())
+                        .flatten()
+                        .and_then(Result::ok)
+                }
             };
             match message {
                 Some(ClientMessage::Query(text)) if !is_blank(&text) => {
--- a/fronts/src/pg/tests.rs
+++ b/fronts/src/pg/tests.rs
@@ -1,13 +1,16 @@
 //! Tests of refusals and of messages sent ahead, over real sockets. The tests act as the broker.
 
+use super::codec::READ_BUFFER_BYTES;
 use super::*;
 use crate::connection_drain::DrainWatcher;
 use crate::session_slots::SessionSlots;
 use crate::test_router::{STATEMENT, next_request, refuse_next_request, test_router};
+use bytes::BytesMut;
 use sedgebeam_operation::{Drain, DrainState};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio_util::codec::Decoder;
 
 fn run<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -339,3 +342,75 @@
         );
     });
 }
+
+fn message(message_type: u8, body: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![message_type];
+    bytes.extend((body.len() as u32 + 4).to_be_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+/// Decodes a stream that arrives in pieces of this length. Returns the messages and the capacity of the read buffer
+/// afterwards.
+fn decode_in_pieces(sent: &[u8], piece_length: usize) -> (Vec<ClientMessage>, usize) {
+    let mut codec = PgCodec::new(256 * 1024);
+    let (mut buffer, mut messages) = (BytesMut::with_capacity(READ_BUFFER_BYTES), Vec::new());
+    for piece in sent.chunks(piece_length) {
+        buffer.extend_from_slice(piece);
+        while let Some(message) = codec.decode(&mut buffer).expect("the input is valid") {
+            messages.push(message);
+        }
+    }
+    (messages, buffer.capacity())
+}
+
+/// Guards against queued queries that keep the read buffers of the long messages around them: a few clients made the
+/// dispatcher exceed its memory limit.
+#[test]
+fn a_query_keeps_no_more_memory_than_its_own_text() {
+    let text = STATEMENT.as_bytes();
+    let long = vec![b'x'; 100_000];
+    let mut sent = startup_and_query(STATEMENT);
+    for _ in 0..3 {
+        sent.extend(message(b'P', &long));
+        sent.extend(query(STATEMENT));
+        // Text behind the zero byte that ends a query.
+        sent.extend(message(b'Q', &[text, b"\0", &long].concat()));
+    }
+    for piece_length in [1_000, 8_192, 20_000, 262_144] {
+        let (messages, buffer_capacity) = decode_in_pieces(&sent, piece_length);
+        let queries = messages.into_iter().filter_map(|message| match message {
+            ClientMessage::Query(text) => Some(text),
+            _ => None,
+        });
+        let queries: Vec<Bytes> = queries.collect();
+        assert_eq!(queries.len(), 7);
+        for query in queries {
+            assert_eq!(query, text);
+            let held = query.try_into_mut().map(|buffer| buffer.capacity());
+            assert_eq!(held.ok(), Some(text.len()), "{piece_length}");
+        }
+        let max_capacity = READ_BUFFER_BYTES.max(2 * piece_length);
+        assert!(buffer_capacity <= max_capacity, "{buffer_capacity}");
+    }
+}
+
+/// The statements of one session share a bound, whether they run, wait or are still being received.
+#[test]
+fn a_long_command_sent_ahead_of_the_answer_to_a_long_one_ends_the_session() {
+    run(async {
+        let (router, mut broker) = test_router(1000).await;
+        let long = |id: u64, length: usize| {
+            let statement = statement_with_limit(id, 60_000);
+            format!("{statement}{}", " ".repeat(length - statement.len()))
+        };
+        let mut sent = startup_and_query(&long(1, 15_000));
+        // Short commands may be sent ahead even of a long one.
+        sent.extend(query(&statement_with_limit(2, 60_000)));
+        sent.extend(&query(&long(3, 12_000))[..100]);
+        let (client, _drain_sender) = start_session(&router, Drain::new(false), &sent).await;
+        let (_, _reply) = next_request(&mut broker).await;
+        let codes = tokio::time::timeout(Duration::from_secs(5), error_codes(client)).await;
+        assert_eq!(codes.expect("the session ends"), ["08P01", "53300"]);
+    });
+}
