Write results to PostgreSQL clients in groups of rows

Each of some hundred sessions that have had one result of 48,000 bytes kept 64 KB or more.

Change: a page is encoded in groups of whole rows of at most 8 KiB, each flushed before the next.

a_page_is_encoded_in_groups_of_whole_rows failed with the whole page as its one group, as it was before, and passes with the change.

--- a/fronts/src/pg/codec.rs
+++ b/fronts/src/pg/codec.rs
@@ -10,8 +10,12 @@
 /// Initial capacity of a connection's read buffer. A longer message gets a buffer of its own length, which is released
 /// with the message.
 pub const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Bound on the encoded length of a group of rows, unless it is a single row.
+const MAX_ROW_GROUP_BYTES: usize = 8 * 1024;
 /// The number of columns of every result.
 pub const COLUMN_COUNT: usize = 3;
+/// Bytes that a DataRow adds to the text of its row: type, length, number of columns, and the length of each column.
+const DATA_ROW_OVERHEAD_BYTES: usize = 1 + 4 + 2 + COLUMN_COUNT * 4;
 
 const PROTOCOL_3: u32 = 3 << 16;
 const CANCEL_REQUEST_CODE: u32 = 80_877_102;
@@ -169,6 +173,39 @@
     *bytes = released;
 }
 
+/// Splits a page into groups of whole rows, so that its encoding is never in memory as a whole: a session would keep a
+/// write buffer of that size.
+pub fn row_groups(page: &Page) -> impl Iterator<Item = Page> {
+    let (rows, is_last) = (page.rows.clone(), page.is_last);
+    let mut start = 0;
+    std::iter::from_fn(move || {
+        let length = row_group_length(&rows[start..]);
+        if length == 0 {
+            return None;
+        }
+        let group = rows.slice(start..start + length);
+        start += length;
+        Some(Page {
+            rows: group,
+            is_last: is_last && start == rows.len(),
+        })
+    })
+}
+
+/// The length of the first group of rows; zero if there is no complete row.
+fn row_group_length(rows: &[u8]) -> usize {
+    let (mut length, mut encoded_bytes) = (0, 0);
+    for row in rows.split_inclusive(|byte| *byte == b'\n') {
+        encoded_bytes += row.len() + DATA_ROW_OVERHEAD_BYTES;
+        let is_complete = row.ends_with(b"\n");
+        if !is_complete || (length > 0 && encoded_bytes > MAX_ROW_GROUP_BYTES) {
+            break;
+        }
+        length += row.len();
+    }
+    length
+}
+
 /// Writes a message: its type, its length and its body.
 fn put_message(bytes: &mut BytesMut, message_type: u8, body: impl FnOnce(&mut BytesMut)) {
     bytes.put_u8(message_type);
--- a/fronts/src/pg/mod.rs
+++ b/fronts/src/pg/mod.rs
@@ -10,7 +10,7 @@
 use super::session_slots::{SessionSlot, SessionState};
 use super::{FrontContext, failure_message, statement};
 use bytes::Bytes;
-use codec::{ClientMessage, ErrorFields, PgCodec, ServerMessage};
+use codec::{ClientMessage, ErrorFields, PgCodec, ServerMessage, row_groups};
 use futures::{FutureExt, Sink, SinkExt, Stream, StreamExt};
 use inbox::{Inbox, ReceivedMessage};
 use sedgebeam_port::{Answer, Failure, RequestRouter, ResultLost, ResultPages, SessionKey};
@@ -547,10 +547,12 @@
             match result.next().await {
                 Ok(Some(page)) => {
                     row_count += page.rows.iter().filter(|byte| **byte == b'\n').count() as u64;
-                    self.connection.feed(ServerMessage::DataRows(page)).await?;
-                    // A client that has not read the page by the deadline is considered disconnected.
-                    let flushed = timeout_at(deadline, self.flush_while_reading()).await;
-                    flushed.map_err(io::Error::other)??;
+                    for rows in row_groups(&page) {
+                        self.connection.feed(ServerMessage::DataRows(rows)).await?;
+                        // A client that has not read the rows by the deadline is considered disconnected.
+                        let flushed = timeout_at(deadline, self.flush_while_reading()).await;
+                        flushed.map_err(io::Error::other)??;
+                    }
                 }
                 Ok(None) => {
                     return self
--- a/fronts/src/pg/tests.rs
+++ b/fronts/src/pg/tests.rs
@@ -7,10 +7,11 @@
 use crate::test_router::{STATEMENT, next_request, refuse_next_request, test_router};
 use bytes::BytesMut;
 use sedgebeam_operation::{Drain, DrainState};
+use sedgebeam_port::Page;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio_util::codec::Decoder;
+use tokio_util::codec::{Decoder, Encoder};
 
 fn run<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -414,3 +415,37 @@
         assert_eq!(codes.expect("the session ends"), ["08P01", "53300"]);
     });
 }
+
+/// Guards against sessions that each keep a write buffer as long as the largest result that they have sent.
+#[test]
+fn a_page_is_encoded_in_groups_of_whole_rows() {
+    let encoded_bytes = |page: &Page| {
+        let mut bytes = BytesMut::new();
+        let message = ServerMessage::DataRows(page.clone());
+        PgCodec::new(0)
+            .encode(message, &mut bytes)
+            .expect("is encoded");
+        bytes
+    };
+    let long_row = format!("{}\n", "x".repeat(20_000));
+    for rows in [
+        "a\tb\tc\n".repeat(8_000),
+        "\n".repeat(10_000),
+        format!("a\n{long_row}{long_row}b\n"),
+        "a\tb\tc\ncut off".to_string(),
+        String::new(),
+    ] {
+        let page = Page {
+            rows: rows.into(),
+            is_last: true,
+        };
+        let mut encoded = BytesMut::new();
+        for group in row_groups(&page) {
+            let group_bytes = encoded_bytes(&group);
+            let is_single_row = group.rows.iter().filter(|byte| **byte == b'\n').count() == 1;
+            assert!(group_bytes.len() <= 8 * 1024 || is_single_row);
+            encoded.extend_from_slice(&group_bytes);
+        }
+        assert_eq!(encoded, encoded_bytes(&page));
+    }
+}
