--- a/engines/src/resp/codec.rs
+++ b/engines/src/resp/codec.rs
@@ -1,6 +1,6 @@
 //! Codec of the RESP protocol of engines: commands are encoded to, and answers decoded from, arrays of bulk strings.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use sedgebeam_core::{LoadReport, Note, RequestId};
 use sedgebeam_port::Attempt;
 use std::io;
@@ -240,7 +240,9 @@
         let Some((ranges, length)) = parse_frame(bytes)? else {
             return Ok(None);
         };
-        let frame = bytes.split_to(length).freeze();
+        // A slice would keep the whole read buffer for as long as the result waits for its other pages.
+        let frame = Bytes::copy_from_slice(&bytes[..length]);
+        bytes.advance(length);
         let part = |index: usize| {
             ranges
                 .get(index)
--- a/engines/src/resp/codec/tests.rs
+++ b/engines/src/resp/codec/tests.rs
@@ -141,6 +141,23 @@
     }
 }
 
+/// Guards against pages that keep the whole read buffer while their result waits for its other pages.
+#[test]
+fn the_rows_of_an_answer_keep_no_more_memory_than_the_answer() {
+    let answer = array(&[ID, "OK", "parts=2", "a\tb\tc\n"]);
+    let mut buffer = BytesMut::from(&*answer.repeat(100));
+    let mut answers = 0;
+    while let Some(reply) = RespCodec.decode(&mut buffer).expect("decodes") {
+        let ReplyBody::Ok { rows, .. } = reply.body else {
+            panic!("{:?} instead of rows", reply.body);
+        };
+        let kept = rows.try_into_mut().map(|buffer| buffer.capacity());
+        assert!(kept.is_ok_and(|kept| kept <= answer.len()));
+        answers += 1;
+    }
+    assert_eq!(answers, 100);
+}
+
 /// An attempt of class `report` with this memory grant.
 fn attempt(memory_mb: f64) -> Attempt {
     Attempt {
