Release the encoding of attempts that an engine has not begun to read

They are encoded anew each time they are offered to the socket, as they contain the time that remains.

the_encoding_of_an_unstarted_attempt_is_not_kept failed while the new function did nothing (85 bytes each were kept), as before the change; it passes with it.

--- a/engines/src/resp/connection.rs
+++ b/engines/src/resp/connection.rs
@@ -242,7 +242,7 @@
             if is_writable && write_queue.len() > 0 {
                 match write_half.try_write_vectored(&write_queue.slices()) {
                     Ok(count) => written = write_queue.advance(count),
-                    Err(error) if should_retry(&error) => {}
+                    Err(error) if should_retry(&error) => write_queue.release_unstarted(),
                     Err(error) => return Err(error),
                 }
             }
--- a/engines/src/resp/write_queue.rs
+++ b/engines/src/resp/write_queue.rs
@@ -101,7 +101,21 @@
     }
 
     /// Removes the first `count` bytes, which the socket has accepted.
-    pub fn advance(&mut self, mut count: usize) -> Written {
+    pub fn advance(&mut self, count: usize) -> Written {
+        let written = self.remove_written(count);
+        self.release_unstarted();
+        written
+    }
+
+    /// Releases the encodings of unstarted attempts, which are encoded anew when they are offered again.
+    pub fn release_unstarted(&mut self) {
+        let offered = self.frames.iter_mut().take(MAX_FRAMES_PER_WRITE);
+        for frame in offered.filter(|frame| frame.unstarted_attempt.is_some()) {
+            frame.bytes = Bytes::new();
+        }
+    }
+
+    fn remove_written(&mut self, mut count: usize) -> Written {
         let mut written = Written::default();
         while count > 0
             && let Some(frame) = self.frames.front_mut()
--- a/engines/src/resp/write_queue/tests.rs
+++ b/engines/src/resp/write_queue/tests.rs
@@ -41,3 +41,24 @@
     advance(Duration::from_millis(300)).await;
     assert_eq!(queued_text(&mut queue), encoded[1..]);
 }
+
+/// Guards against connections whose engine does not read, each of which kept copies of the statements that wait for it.
+#[tokio::test(start_paused = true)]
+async fn the_encoding_of_an_unstarted_attempt_is_not_kept() {
+    let mut queue = WriteQueue::default();
+    for _ in 0..2 {
+        let fetch = Command::Fetch(attempt(Duration::from_millis(1_500)));
+        queue.push(fetch).expect("is encoded");
+    }
+    let encoded = queued_text(&mut queue);
+    let kept_bytes = |queue: &WriteQueue| {
+        let lengths = queue.frames.iter().map(|frame| frame.bytes.len());
+        lengths.collect::<Vec<usize>>()
+    };
+    queue.release_unstarted();
+    assert_eq!(kept_bytes(&queue), [0, 0]);
+    assert_eq!(queued_text(&mut queue), encoded);
+    queue.advance(1);
+    assert_eq!(kept_bytes(&queue), [encoded.len() / 2 - 1, 0]);
+    assert_eq!(queued_text(&mut queue), encoded[1..]);
+}
