End a request for its own client's leaving alone

A client that sent an id which was open for another one, and left before it had read that this failed, ended the other's request.

Cause: the id does not tell which submission is meant. A front cancels the token of its submission before it sends the message, so the broker can tell: it ends the open request only if that one's token is cancelled.

a_client_that_leaves_does_not_end_the_request_of_another_client_with_its_id failed before (the other client was answered), passes with the change. a_client_disconnect_is_reported_once_and_the_attempt_still_ends sent the message without cancelling the token, which no front does; it cancels it now and is otherwise the same.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -342,7 +342,7 @@
     fn handle_message(&mut self, message: BrokerMessage) {
         match message {
             BrokerMessage::Submit(request, reply) => self.submit(request, reply),
-            BrokerMessage::ClientLeft(id) => self.client_left(id, Failure::Cancelled),
+            BrokerMessage::ClientLeft(id) => self.client_left_message(id),
             BrokerMessage::EngineReport(
                 engine,
                 EngineReport::AttemptEnded(id, attempt_no, result),
@@ -518,6 +518,15 @@
         }
     }
 
+    /// Handles the message that a client has left. It may come from the client of an earlier request with this id, or of
+    /// one that was answered as a duplicate: only the token of that request is cancelled then.
+    fn client_left_message(&mut self, id: RequestId) {
+        let request = self.open_requests.get(&id);
+        if request.is_some_and(|request| request.cancel_token.is_cancelled()) {
+            self.client_left(id, Failure::Cancelled);
+        }
+    }
+
     /// Handles a client that has disconnected or cancelled its request, which is answered with this failure.
     fn client_left(&mut self, id: RequestId, failure: Failure) {
         if self
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -282,6 +282,8 @@
     run_in_runtime(|| {
         let mut fixture = fixture();
         fixture.send();
+        // A front cancels the token of its request before it sends the message.
+        fixture.broker.open_requests[&ID].cancel_token.cancel();
         fixture.broker.handle_message(BrokerMessage::ClientLeft(ID));
         fixture.broker.handle_message(BrokerMessage::ClientLeft(ID));
         let client_left_events = fixture
@@ -334,6 +336,25 @@
     });
 }
 
+/// A client sends an id that is open for another client, and leaves before it has read that this failed: the message that it
+/// has left carries the id alone.
+#[test]
+fn a_client_that_leaves_does_not_end_the_request_of_another_client_with_its_id() {
+    run_in_runtime(|| {
+        let mut fixture = fixture();
+        fixture.send();
+        let (reply, _unread) = oneshot::channel();
+        let duplicate = request();
+        let cancel_token = duplicate.cancel_token.clone();
+        fixture.broker.submit(duplicate, reply);
+        cancel_token.cancel();
+        fixture.broker.handle_message(BrokerMessage::ClientLeft(ID));
+        let unanswered = oneshot::error::TryRecvError::Empty;
+        assert_eq!(fixture.answer.try_recv().err(), Some(unanswered));
+        assert!(fixture.broker.is_in_flight(ENGINE, ID, FIRST));
+    });
+}
+
 #[test]
 fn batches_are_a_tick_apart_and_timeouts_end_at_the_deadline() {
     run_in_runtime(|| {
