Bound the estimates of clients by the work that answers show

Cause: each send to a cold engine counts with the mean work of its class, and that mean was learned from the estimates of clients as requests came. What answers tell of the work was not used.

Change: from ten answers of a class on, the mean estimate counts within 0.75 to 4 times the mean work of its answers. Before, a send counts with at least half of the budget, and an admission token with at least 2.5% of the class's target thread time.

cold_engines_get_nothing_while_the_peer_process_may_use_them_nor_one_ window_later took only a send of its own last request for a sign that the gateway uses the engine again; requests that were queued before are sent first, and now use up the budget. It takes either, its bounds are the same.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -41,7 +41,7 @@
     pub service_time_ratio: f64,
     /// Mean time of an attempt; `None` before the first answer.
     pub mean_attempt_us: Option<f64>,
-    /// Mean estimated work of a request; `None` before the first estimate.
+    /// Mean work of a request, as its process reckons with; `None` before the first estimate.
     pub mean_work_us: Option<f64>,
     /// Number of requests accepted so far.
     pub accepted_requests: f64,
@@ -67,14 +67,15 @@
             }
         });
         let mut classes: Vec<ClassHandover> = Vec::new();
-        for (class, stats) in self.settings.classes.iter().zip(&self.stats) {
+        for (index, (class, stats)) in self.settings.classes.iter().zip(&self.stats).enumerate() {
+            let mean_work_us = |_| self.mean_core_seconds(index) * 1e6;
             classes.push(ClassHandover {
                 name: class.name.clone(),
                 usage: ClassUsage::default(),
                 usual_ratio: stats.usual_ratio,
                 service_time_ratio: stats.service_time_ratio,
                 mean_attempt_us: stats.attempt_us.0,
-                mean_work_us: stats.work_us.0,
+                mean_work_us: stats.estimated_work_us.0.map(mean_work_us),
                 accepted_requests: stats.accepted_requests,
                 spill_margin: stats.spill_margin,
             });
@@ -106,7 +107,8 @@
                 usual_ratio: known.usual_ratio,
                 service_time_ratio: known.service_time_ratio,
                 attempt_us: MovingMean(known.mean_attempt_us),
-                work_us: MovingMean(known.mean_work_us),
+                estimated_work_us: MovingMean(known.mean_work_us),
+                observed_work: stats.observed_work,
                 accepted_requests: known.accepted_requests,
                 spill_margin: known.spill_margin,
             };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 use crate::interface::*;
 use crate::shard_usage::SiblingState;
 use crate::sizing::{OWN_BUDGET_FACTOR, THREADS_PER_CORE, tenant_shares};
+use crate::slow_start::observed_work_us;
 use crate::state::*;
 use crate::subset::Ring;
 use sedgebeam_fleet::{ConcurrencyLimit, EjectionPolicy, FAILURES_TO_EJECT, probing, splitmix64};
@@ -374,7 +375,7 @@
         }
         if query.work > Micros(0) {
             self.stats[class]
-                .work_us
+                .estimated_work_us
                 .add(MEAN_GAIN, query.work.0 as f64);
         }
         self.mean_worth.add(MEAN_GAIN, class_settings.worth);
@@ -836,6 +837,9 @@
         stats.service_time_ratio +=
             SERVICE_TIME_RATIO_GAIN * (deviation - stats.service_time_ratio);
         stats.attempt_us.add(MEAN_GAIN, elapsed_us);
+        stats
+            .observed_work
+            .add(MEAN_GAIN, observed_work_us(request, end));
         self.mean_thread_time_us
             .add(MEAN_GAIN, elapsed_us * request.threads);
         self.mean_attempt_time_us.add(MEAN_GAIN, elapsed_us);
@@ -900,7 +904,7 @@
             return None;
         }
         let (work_core_s, memory_mb) = (
-            self.mean_core_seconds(request.class),
+            self.cold_send_core_seconds(request.class, engine),
             self.required_memory_mb(request),
         );
         let starts_by = self.latest_repeat_start(request);
--- a/src/sizing.rs
+++ b/src/sizing.rs
@@ -26,6 +26,13 @@
     tenants.iter().map(share).chain([1.0]).collect()
 }
 
+impl Class {
+    /// Thread seconds of a query that takes all of the time in which it should be answered.
+    pub(crate) fn target_thread_seconds(&self) -> f64 {
+        self.threads.max(1.0) * self.on_time.0 as f64 / 1e6
+    }
+}
+
 impl Settings {
     /// Cores of the largest kind of engine.
     fn max_cores(&self) -> f64 {
@@ -107,11 +114,11 @@
     /// Durations of ejections. They depend on the work of the lightest query, with which ejected engines are
     /// tried.
     pub(crate) fn ejection_policy(&self) -> EjectionPolicy {
-        let on_time_thread_seconds =
-            |class: &Class| class.threads.max(1.0) * class.on_time.0 as f64 / 1e6;
         let classes = self.active_classes().map(|index| &self.classes[index]);
-        let lightest_thread_seconds =
-            classes.map(on_time_thread_seconds).fold(f64::MAX, f64::min) * LIGHTEST_QUERY_SHARE;
+        let lightest_thread_seconds = classes
+            .map(Class::target_thread_seconds)
+            .fold(f64::MAX, f64::min)
+            * LIGHTEST_QUERY_SHARE;
         let (gateways, cores) = (self.gateway_count(), self.max_cores());
         EjectionPolicy::new(
             gateways,
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -1,20 +1,92 @@
 //! Slow start of engines: limits the work sent to cold engines, by a budget if gateways are few and by
 //! admission tokens if gateways are many.
 
-use crate::interface::Micros;
+use crate::interface::{AttemptEnded, Micros};
 use crate::policy::Gateway;
 use crate::state::{Attempt, EngineView, Request};
 use sedgebeam_fleet::{slow_start, splitmix64};
 
 /// Fraction of its share of a cold engine's budget that a gateway uses, as the work of queries is estimated.
 const COLD_BUDGET_FRACTION: f64 = 0.5;
+/// Fraction of that budget which a request counts with at least while its class has too few answers.
+const UNCONFIRMED_BUDGET_FRACTION: f64 = 0.5;
+/// Share of its class's target thread time that a request counts with at least for admission tokens while
+/// its class has too few answers.
+const UNCONFIRMED_THREAD_TIME_SHARE: f64 = 0.025;
+/// Number of answers of a class from which estimates are compared with the work that answers show.
+const MIN_ANSWERS: u32 = 10;
+/// Bounds of the mean estimate of a class, as multiples of the mean work that answers show.
+const ESTIMATE_BOUNDS: (f64, f64) = (0.75, 4.0);
+/// An estimate that is this many times below the thread time of its attempt is not believed.
+const MAX_UNDERESTIMATE: f64 = 1.25;
+/// Smallest work that an answer counts with: engines tell whole milliseconds.
+const MIN_WORK_US: f64 = 1000.0;
+
+/// Work of an answered request: what its engine tells, or else its estimate, as far as the thread time of
+/// the attempt allows: a query can't do more work than that, and rarely far less.
+pub(crate) fn observed_work_us(request: &Request, end: &AttemptEnded) -> f64 {
+    let thread_time_us = (end.elapsed.0 as f64 * request.threads).max(MIN_WORK_US);
+    let estimated_work_us = request.query.work.0 as f64;
+    let work_us = match end.work {
+        Some(work) => work.0 as f64,
+        None if estimated_work_us > 0.0 => {
+            estimated_work_us.clamp(thread_time_us / MAX_UNDERESTIMATE, thread_time_us)
+        }
+        None => thread_time_us,
+    };
+    work_us.max(MIN_WORK_US)
+}
 
 impl Gateway {
-    /// Core seconds that a send to a cold engine counts with: the mean work of its class, or else its mean
-    /// thread seconds.
+    /// Mean core seconds of a request of the class, as answers show; `None` before enough answers.
+    fn observed_core_seconds(&self, class: usize) -> Option<f64> {
+        let observed_work = &self.stats[class].observed_work;
+        (observed_work.answers >= MIN_ANSWERS).then_some(observed_work.mean_us / 1e6)
+    }
+
+    /// Mean core seconds of a request of the class: as clients estimate, within bounds of what answers show;
+    /// without estimates its mean thread seconds. The mean of the estimates alone would be what clients
+    /// choose, and that of the answers varies too much where a gateway sees few.
     pub(crate) fn mean_core_seconds(&self, class: usize) -> f64 {
-        let work_us = self.stats[class].work_us.0;
-        work_us.map_or(self.mean_thread_seconds(class), |work_us| work_us / 1e6)
+        let estimated_work_us = self.stats[class].estimated_work_us.0;
+        let estimated_core_s =
+            estimated_work_us.map_or(self.mean_thread_seconds(class), |work_us| work_us / 1e6);
+        let (min, max) = ESTIMATE_BOUNDS;
+        self.observed_core_seconds(class)
+            .map_or(estimated_core_s, |observed_core_s| {
+                estimated_core_s.clamp(min * observed_core_s, max * observed_core_s)
+            })
+    }
+
+    /// Mean core seconds, but at least `min_core_s` while the class has too few answers.
+    fn confirmed_core_seconds(&self, class: usize, min_core_s: f64) -> f64 {
+        let mean_core_s = self.mean_core_seconds(class);
+        match self.observed_core_seconds(class) {
+            Some(_) => mean_core_s,
+            None => mean_core_s.max(min_core_s),
+        }
+    }
+
+    /// Core seconds that a send of the class to a cold engine counts with in the budget.
+    pub(crate) fn cold_send_core_seconds(&self, class: usize, engine: &EngineView) -> f64 {
+        let min_core_s = UNCONFIRMED_BUDGET_FRACTION * self.cold_budget_core_s(engine);
+        self.confirmed_core_seconds(class, min_core_s)
+    }
+
+    /// Core seconds that an admission token of the class stands for.
+    fn token_core_seconds(&self, class: usize) -> f64 {
+        let target_core_s = self.settings.classes[class].target_thread_seconds();
+        self.confirmed_core_seconds(class, UNCONFIRMED_THREAD_TIME_SHARE * target_core_s)
+    }
+
+    /// Core seconds that this gateway may send to a cold engine in any overload window: its share of a part
+    /// of what the engine bears when it starts.
+    fn cold_budget_core_s(&self, engine: &EngineView) -> f64 {
+        let settings = &self.settings;
+        let window_s = settings.overload_window.0 as f64 / 1e6;
+        let initial_capacity_core_s = engine.cores * settings.start_capacity * window_s;
+        settings.overload_multiple * initial_capacity_core_s * COLD_BUDGET_FRACTION
+            / settings.gateway_count()
     }
 
     /// Whether the engine is still in slow start.
@@ -63,18 +135,15 @@
         if !self.is_cold(engine, now) {
             return true;
         }
-        let first_window_is_over = self.started_at.is_some_and(|at| now >= at + window);
+        if self.started_at.is_none_or(|at| now < at + window) {
+            return false;
+        }
         if self.uses_admission_tokens() {
-            return first_window_is_over
-                && engine.admission_tokens.is_available(request.class, now.0);
+            return engine.admission_tokens.is_available(request.class, now.0);
         }
-        let initial_capacity_core_s =
-            engine.cores * settings.start_capacity * window.0 as f64 / 1e6;
-        let budget_core_s =
-            settings.overload_multiple * initial_capacity_core_s * COLD_BUDGET_FRACTION
-                / settings.gateway_count();
         let sent_core_s = engine.cold_work_core_s(now, window);
-        first_window_is_over && sent_core_s + self.mean_core_seconds(request.class) <= budget_core_s
+        let send_core_s = self.cold_send_core_seconds(request.class, engine);
+        sent_core_s + send_core_s <= self.cold_budget_core_s(engine)
     }
 
     /// Adds the admission tokens for cold engines that have become due since the last call.
@@ -85,7 +154,7 @@
         let (now, settings, gateway_index) = (self.now, &self.settings, self.gateway_index());
         let slow_start = settings.slow_start();
         let class_work_core_s =
-            (0..settings.classes.len()).map(|class| self.mean_core_seconds(class));
+            (0..settings.classes.len()).map(|class| self.token_core_seconds(class));
         let class_work_core_s: Vec<f64> = class_work_core_s.collect();
         // Each class starts with a count of one request, as a gateway that has just started has
         // accepted none.
--- a/src/state.rs
+++ b/src/state.rs
@@ -288,6 +288,22 @@
     }
 }
 
+/// Mean of the work that answers show, and their number.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct ObservedWork {
+    pub mean_us: f64,
+    pub answers: u32,
+}
+
+impl ObservedWork {
+    /// Adds the work of an answered request. The first answers count alike, later ones with `min_gain`.
+    pub fn add(&mut self, min_gain: f64, work_us: f64) {
+        self.answers = self.answers.saturating_add(1);
+        let gain = min_gain.max(1.0 / f64::from(self.answers));
+        self.mean_us += gain * (work_us - self.mean_us);
+    }
+}
+
 /// Learned statistics of a class.
 #[derive(Clone, Default)]
 pub(crate) struct ClassStats {
@@ -298,8 +314,10 @@
     pub service_time_ratio: f64,
     /// Mean time of an attempt.
     pub attempt_us: MovingMean,
-    /// Mean estimated work of a request.
-    pub work_us: MovingMean,
+    /// Mean work of a request by the estimates of clients, which may be wrong.
+    pub estimated_work_us: MovingMean,
+    /// Work of answered requests.
+    pub observed_work: ObservedWork,
     /// Number of requests accepted so far.
     pub accepted_requests: f64,
     /// Learned addition to the memory grant, as a multiple of the estimate.
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -67,9 +67,9 @@
         .gateway
         .set_peer_process_usage(harness.now, &HandoverState::default(), true);
     let mut id = 1;
-    while sent_to(&harness.submit(id, LIGHT)).is_none() {
+    // Requests that were queued before are sent first.
+    while sent_to(&harness.submit(id, LIGHT)).is_none() && sent_to(&harness.advance(10)).is_none() {
         id += 1;
-        harness.advance(10);
         assert!(
             harness.now < last_denied_at + window + ms(100),
             "the gateway may use cold engines again"
