Remember ids of requests that may have run, and do not run them again

Cause: an id was known only while its request was open, and the request of a client that has left is removed at once, before its attempt has ended at the engine.

Change: the id is remembered for the second within which an abort is done, and until the deadline where a repeat would do harm. As many ids are kept as requests may be open. A request under such an id fails with 42710, as under an open one, and does not run.

a_load_is_not_begun_again_when_its_id_comes_after_its_client_has_left failed before on sockets (the engine got the load again). an_id_is_not_run_again_while_that_could_do_harm and the_number_of_remembered_ids_is_limited test the new part. a_request_with_a_reused_id_is_not_affected_by_the_first relied on the id being free at once; it sends it again when it is forgotten, with the same assertions.

--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod engines;
+mod recent_requests;
 mod requests;
 pub mod shards;
 #[cfg(test)]
@@ -13,6 +14,7 @@
 
 use admin::Tally;
 use engines::{KnownEngine, probe_outcome};
+use recent_requests::RecentRequests;
 use requests::{InFlightAttempt, OpenRequest, PendingAbort};
 use sedgebeam_core::{
     Action, AttemptEnded, AttemptNo, Effect, EngineId, Event, Gateway, HandoverState, Key, Micros,
@@ -61,6 +63,7 @@
     /// Sends to the broker's own mailbox.
     own_sender: BrokerSender,
     open_requests: HashMap<RequestId, OpenRequest>,
+    recent_requests: RecentRequests,
     engines: BTreeMap<EngineId, KnownEngine>,
     /// Ids of the known engines by uid.
     engine_ids: HashMap<String, EngineId>,
@@ -112,6 +115,7 @@
         clock: config.clock,
         own_sender: own_sender.clone(),
         open_requests: HashMap::new(),
+        recent_requests: RecentRequests::default(),
         engines: BTreeMap::new(),
         engine_ids: HashMap::new(),
         drained: BTreeSet::new(),
@@ -173,6 +177,7 @@
                 shard.heartbeat();
             }
             self.fire_timers(now);
+            self.forget_expired_requests(now);
             if self.has_pending_events() && now >= self.next_batch_at(now) {
                 self.process_batch(now);
             }
@@ -247,14 +252,52 @@
             }
         }
         for id in finished_requests {
-            self.open_requests.remove(&id);
-            if let Some(shard) = &self.shard {
-                shard.release_request(id);
-            }
+            self.remove_request(id, now);
         }
         self.update_engine_metrics();
     }
 
+    /// Removes a finished request. Its id is remembered while a request under the same id could run beside it or repeat
+    /// it.
+    fn remove_request(&mut self, id: RequestId, now: Instant) {
+        let Some(request) = self.open_requests.remove(&id) else {
+            return;
+        };
+        let forgotten = match self.remembered_until(&request, now) {
+            Some(until) => self
+                .recent_requests
+                .insert(id, until, self.max_open_requests),
+            None => Some(id),
+        };
+        self.release_ids(forgotten);
+    }
+
+    /// Until when the id of a finished request is remembered; `None` if a repeat would do no harm.
+    fn remembered_until(&self, request: &OpenRequest, now: Instant) -> Option<Instant> {
+        let may_run_until = now + ABORT_TIMEOUT;
+        let class = self.settings.classes.get(request.class.0);
+        let is_repeat_harmless = class.is_none_or(|class| class.effect.is_repeat_harmless());
+        if request.may_have_run && !is_repeat_harmless {
+            // After its deadline nobody waits for the request any more.
+            return Some(request.deadline.max(may_run_until));
+        }
+        request.may_still_run.then_some(may_run_until)
+    }
+
+    /// Forgets the ids that need not be remembered any more.
+    fn forget_expired_requests(&mut self, now: Instant) {
+        while let Some(id) = self.recent_requests.pop_expired(now) {
+            self.release_ids(Some(id));
+        }
+    }
+
+    /// Lets other shards open requests with these ids.
+    fn release_ids(&self, ids: impl IntoIterator<Item = RequestId>) {
+        if let Some(shard) = &self.shard {
+            ids.into_iter().for_each(|id| shard.release_request(id));
+        }
+    }
+
     /// Updates the metrics of discovered and ejected engines if they have changed.
     fn update_engine_metrics(&mut self) {
         let ejected = self.gateway.ejected_engines().into_iter();
@@ -439,7 +482,8 @@
             let _ = reply.send(Answer::Failed(Failure::Cancelled));
             return;
         }
-        if self.open_requests.contains_key(&request.id) {
+        let is_recent = self.recent_requests.contains(request.id, Instant::now());
+        if is_recent || self.open_requests.contains_key(&request.id) {
             let _ = reply.send(Answer::Failed(Failure::DuplicateId));
             return;
         }
@@ -675,6 +719,9 @@
         ended_at: Instant,
     ) {
         self.counters.count_attempt(outcome);
+        if let Some(request) = self.open_requests.get_mut(&id) {
+            request.attempt_ended(outcome);
+        }
         let request = self.open_requests.get(&id);
         self.events.push(Event::Ended(AttemptEnded {
             request: id,
@@ -837,9 +884,10 @@
         work: Option<Micros>,
         load: Option<sedgebeam_core::LoadReport>,
     ) {
-        let Some(request) = self.open_requests.get(&id) else {
+        let Some(request) = self.open_requests.get_mut(&id) else {
             return;
         };
+        request.attempt_ended(Outcome::Ok);
         let pages = ResultPages::new(page, request.deadline, attempt.mailbox, id, attempt_no);
         self.send_answer(id, Answer::Rows(pages));
         self.counters.count_attempt(Outcome::Ok);
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -51,6 +51,10 @@
     pub memory_grant_mb: Option<NonZeroU32>,
     /// Attempts by number; `None` once an attempt has its outcome.
     pub attempts: Vec<Option<InFlightAttempt>>,
+    /// An attempt has ended that an engine may have run.
+    pub may_have_run: bool,
+    /// An attempt has ended without proof that its engine has stopped.
+    pub may_still_run: bool,
     pub is_removal_scheduled: bool,
 }
 
@@ -75,10 +79,18 @@
             priority: 1,
             memory_grant_mb: None,
             attempts: Vec::new(),
+            may_have_run: false,
+            may_still_run: false,
             is_removal_scheduled: false,
         }
     }
 
+    /// Records the outcome of an attempt.
+    pub fn attempt_ended(&mut self, outcome: Outcome) {
+        self.may_have_run |= outcome.may_have_run();
+        self.may_still_run |= outcome.may_still_run();
+    }
+
     pub fn attempt_in_flight(&self, attempt_no: AttemptNo) -> Option<&InFlightAttempt> {
         self.attempts.get(attempt_no.0 as usize)?.as_ref()
     }
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -476,6 +476,9 @@
         fixture.broker.client_left(ID, Failure::Cancelled);
         fixture.broker.cancel_attempt(ID, FIRST, Instant::now());
         fixture.broker.process_batch(Instant::now());
+        // The id is free again once the first request can't run any more.
+        let deadline_passed_at = Instant::now() + Duration::from_secs(30);
+        fixture.broker.forget_expired_requests(deadline_passed_at);
         let (reply, mut answer) = oneshot::channel();
         let second_request = NewRequest {
             deadline: Instant::now() + Duration::from_secs(90),
@@ -879,3 +882,79 @@
         }
     });
 }
+
+/// Ends the request of a fixture.
+type RequestEnd = fn(&mut Fixture);
+
+/// Guards against a request that runs beside the attempt of an earlier one with its id, whose client has left, or repeats
+/// what that one may have done.
+#[test]
+fn an_id_is_not_run_again_while_that_could_do_harm() {
+    let second_after = Duration::from_secs(2);
+    let serve: RequestEnd = |fixture| fixture.end(success());
+    let leave_unserved: RequestEnd = |fixture| {
+        fixture.end(AttemptResult::ConnectFailed);
+        leave(fixture);
+    };
+    // Whether the id is refused at once, after the abort is overdue, and after the deadline.
+    let cases = [
+        (
+            "left",
+            Effect::Once,
+            leave as RequestEnd,
+            [true, true, false],
+        ),
+        ("left", Effect::Repeatable, leave, [true, false, false]),
+        ("served", Effect::Once, serve, [true, true, false]),
+        ("served", Effect::Repeatable, serve, [false, false, false]),
+        (
+            "never ran",
+            Effect::Once,
+            leave_unserved,
+            [false, false, false],
+        ),
+    ];
+    run_in_runtime(|| {
+        for (name, effect, end, expected) in cases {
+            let mut fixture = fixture();
+            fixture.broker.settings.classes[0].effect = effect;
+            fixture.send();
+            end(&mut fixture);
+            fixture.broker.process_batch(Instant::now());
+            assert!(fixture.broker.open_requests.is_empty(), "{name}");
+            let now = Instant::now();
+            let is_refused = [now, now + second_after, now + Duration::from_secs(10)].map(|at| {
+                fixture.broker.forget_expired_requests(at);
+                fixture.broker.recent_requests.contains(ID, at)
+            });
+            assert_eq!(is_refused, expected, "{name}, {effect:?}");
+            assert_eq!(fixture.broker.recent_requests.len(), 0, "{name}");
+        }
+    });
+}
+
+/// The client leaves, and the gateway cancels the attempt if it is in flight.
+fn leave(fixture: &mut Fixture) {
+    fixture.broker.client_left(ID, Failure::Cancelled);
+    fixture.broker.cancel_attempt(ID, FIRST, Instant::now());
+}
+
+#[test]
+fn the_number_of_remembered_ids_is_limited() {
+    let now = Instant::now();
+    let mut recent_requests = RecentRequests::default();
+    for id in 0..10 {
+        let until = now + Duration::from_secs(10 - id);
+        let forgotten = recent_requests.insert(RequestId(id), until, 4);
+        // The id that expires first is the newest.
+        assert_eq!(forgotten, (id >= 4).then_some(RequestId(id)));
+    }
+    assert_eq!(recent_requests.len(), 4);
+    let extended = recent_requests.insert(RequestId(3), now + Duration::from_secs(60), 4);
+    assert_eq!(extended, None);
+    assert!(recent_requests.contains(RequestId(3), now + Duration::from_secs(59)));
+    assert_eq!(
+        recent_requests.pop_expired(now + Duration::from_secs(59)),
+        Some(RequestId(2))
+    );
+}
--- a/dispatcher/tests/scenarios/fronts.rs
+++ b/dispatcher/tests/scenarios/fronts.rs
@@ -177,6 +177,34 @@
     }
 }
 
+/// Guards against a load that begins twice: its client leaves while it runs, and its id comes again. The lookups have the
+/// dispatcher decide once more, after which it knows nothing more of the first request's attempt.
+#[test]
+fn a_load_is_not_begun_again_when_its_id_comes_after_its_client_has_left() {
+    Harness::new(&["e1"]).run_script(
+        "c1 send journal-load 1
+         e1 expect fetch 1
+         c1 close
+         e1 expect abort 1
+         c9 send lookup 9
+         e1 expect fetch 9
+         c2 send journal-load 1
+         c2 expect error 42710
+         c3 send journal-load 2
+         e1 expect fetch 2
+         e1 send 2 OK 1 a|b|c
+         c3 expect row a|b|c
+         c3 expect complete 1
+         c3 close
+         c8 send lookup 8
+         e1 expect fetch 8
+         c4 send journal-load 2
+         c4 expect error 42710
+         c5 send lookup 3
+         e1 expect fetch 3",
+    );
+}
+
 #[test]
 fn a_client_that_disconnects_aborts_its_attempt() {
     run_for_all_fronts_and_engines(
--- a/fronts/src/lib.rs
+++ b/fronts/src/lib.rs
@@ -23,7 +23,7 @@
     match failure {
         Failure::OutcomeUnknown => "no ledger engine answered; the statement may have run",
         Failure::Cancelled => "the statement was cancelled; it may have run",
-        Failure::DuplicateId => "a request of this txn is open already",
+        Failure::DuplicateId => "a request of this txn is open, or was and may have run",
         Failure::UnknownTenant => "the field \"team\" names no tenant; nothing ran",
         Failure::ShuttingDown => "the dispatcher is ending; the statement may have run",
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,6 +88,13 @@
     Once,
 }
 
+impl Effect {
+    /// Whether running a query again under the same id never does harm.
+    pub fn is_repeat_harmless(self) -> bool {
+        matches!(self, Effect::Repeatable | Effect::Keyed(DedupScope::All))
+    }
+}
+
 /// The engines that drop each other's duplicates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupScope {
@@ -342,6 +349,14 @@
             Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent
         )
     }
+
+    /// Whether the engine may still execute the query.
+    pub fn may_still_run(self) -> bool {
+        matches!(
+            self,
+            Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
+        )
+    }
 }
 
 /// How busy an engine is, as reported by it; `None` for what it does not report.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1024,10 +1024,9 @@
             .requests
             .get(&id)
             .filter(|request| !request.is_answered)?;
-        let is_retry_harmless = match self.settings.classes[request.class].effect {
-            Effect::Repeatable | Effect::Keyed(DedupScope::All) => true,
-            Effect::Keyed(_) | Effect::Once => request.first_that_may_have_run().is_none(),
-        };
+        let effect = self.settings.classes[request.class].effect;
+        let is_retry_harmless =
+            effect.is_repeat_harmless() || request.first_that_may_have_run().is_none();
         // A retry can succeed once the requests queued now have been released.
         let queued_count = self.queues.len(request.class) as f64 + 1.0;
         let wait_s = queued_count / self.release_rate(request.class).max(1e-3);
@@ -1222,7 +1221,7 @@
         let request = self.requests.get(&id)?;
         let may_retry = request.attempts.len() < request.max_attempts;
         let effect = self.settings.classes[request.class].effect;
-        if may_retry && matches!(effect, Effect::Repeatable | Effect::Keyed(DedupScope::All)) {
+        if may_retry && effect.is_repeat_harmless() {
             self.cancel_attempt(id, number);
         }
         Some(())
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,11 +95,8 @@
 
     /// Whether an attempt ended without proof that the engine stopped its query.
     pub fn may_still_run(&self) -> bool {
-        use Outcome::{Cancelled, Reset, TimedOut};
-        let outcomes = self.attempts.iter().filter_map(|attempt| attempt.outcome);
-        outcomes
-            .into_iter()
-            .any(|outcome| matches!(outcome, TimedOut | Reset | Cancelled))
+        let mut outcomes = self.attempts.iter().filter_map(|attempt| attempt.outcome);
+        outcomes.any(Outcome::may_still_run)
     }
 
     /// Time that the query takes on an idle engine, by its estimated work; `None` without an estimate.
