Remove an engine when a later process is listed at its address

Cause: engines are told apart by uid, and nothing compared addresses.

Change: of the engines at one address, those that started earlier than the latest are removed as if the list had said so, by start times alone.

--- a/broker/src/engines.rs
+++ b/broker/src/engines.rs
@@ -12,7 +12,7 @@
     EngineCommand, EngineReporter, EngineTransport, IdleEngine, ListUpdate, ProbeResult, Target,
 };
 use sedgebeam_settings::millis_to_micros;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use tokio::time::Instant;
 
 /// Maximum time between a change and its delivery by the change log.
@@ -77,6 +77,11 @@
         };
     }
 
+    /// Start time as listed, in Unix time by the engine's clock; zero if none is listed.
+    fn reported_start(&self) -> f64 {
+        self.reported_start_ms.unwrap_or_default()
+    }
+
     /// Tells the actor to return the attempts that are not yet written.
     fn return_unsent(&self) {
         if let Some(actor) = &self.actor {
@@ -138,6 +143,7 @@
             let unlisted: Vec<EngineId> = known_ids.filter(|id| !listed_ids.contains(id)).collect();
             unlisted.into_iter().for_each(|id| self.remove_engine(id));
         }
+        engines.extend(self.remove_replaced_engines(&targets));
         self.events.push(Event::List { kind, engines });
         self.update_engine_metrics();
     }
@@ -224,6 +230,39 @@
         }
     }
 
+    /// Removes the engines at whose addresses these targets list processes that have started later, and returns their
+    /// entries. Their own processes are gone, although the list has not said so yet: what would be sent to them would
+    /// reach the later processes.
+    fn remove_replaced_engines(&mut self, targets: &[Target]) -> Vec<Engine> {
+        let endpoints = targets.iter().map(|target| target.endpoint.as_str());
+        let endpoints: HashSet<&str> = endpoints.collect();
+        let mut latest_starts: HashMap<String, f64> = HashMap::new();
+        let at_endpoints = |engine: &&KnownEngine| endpoints.contains(&*engine.target.endpoint);
+        for engine in self.engines.values().filter(at_endpoints) {
+            let endpoint = engine.target.endpoint.clone();
+            let latest_start = latest_starts.entry(endpoint).or_default();
+            *latest_start = latest_start.max(engine.reported_start());
+        }
+        let is_replaced = |engine: &KnownEngine| {
+            let latest_start = latest_starts.get(&engine.target.endpoint);
+            latest_start.is_some_and(|latest_start| engine.reported_start() < *latest_start)
+        };
+        let replaced = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| is_replaced(engine));
+        let replaced: Vec<(EngineId, Target)> = replaced
+            .map(|(id, engine)| (*id, engine.target.clone()))
+            .collect();
+        let remove = |(id, target): (EngineId, Target)| {
+            let Target { uid, endpoint, .. } = &target;
+            log::info!("engine {uid}: a later process is listed at its address {endpoint}");
+            self.remove_engine(id);
+            self.list_entry(id, &target, EngineState::Gone)
+        };
+        replaced.into_iter().map(remove).collect()
+    }
+
     /// Handles the report of an idle actor, which is ended unless another command was sent to it meanwhile.
     pub(super) fn engine_idle(&mut self, engine: EngineId, idle_engine: &IdleEngine) {
         if let Some(known_engine) = self.engines.get_mut(&engine) {
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -841,6 +841,70 @@
     });
 }
 
+/// A target at the only address of these tests.
+fn target_at_address(uid: &str, state: &str, boot_ms: f64) -> Target {
+    Target {
+        uid: uid.to_string(),
+        endpoint: "127.0.0.1:1".to_string(),
+        state: state.to_string(),
+        boot_ms: Some(boot_ms),
+        ..Target::default()
+    }
+}
+
+/// The states of the engines in the gateway's next lists, by the numbers of their ids; the last one counts.
+fn listed_states(broker: &mut Broker) -> BTreeMap<u64, sedgebeam_core::EngineState> {
+    let events = std::mem::take(&mut broker.events).into_iter();
+    let lists = events.filter_map(|event| match event {
+        Event::List { engines, .. } => Some(engines),
+        _ => None,
+    });
+    lists
+        .flatten()
+        .map(|engine| (engine.id.0, engine.state))
+        .collect()
+}
+
+/// Guards against two entries that send to one process: a new process at the address of one that is still listed got what
+/// both may send, before and beside its slow start.
+#[test]
+fn an_engine_is_gone_once_a_later_process_is_listed_at_its_address() {
+    use sedgebeam_core::EngineState::{Draining, Gone, Ready};
+    let old = || target_at_address("s-1", "up", 0.0);
+    run_in_runtime(|| {
+        for (state, new_state) in [("up", Ready), ("draining", Draining)] {
+            let new_target = || target_at_address("s-2", state, 5_000.0);
+            let as_change = [
+                (ListUpdate::Complete, vec![old()]),
+                (ListUpdate::Changes, vec![new_target()]),
+            ];
+            let as_list = [(ListUpdate::Complete, vec![new_target(), old()])];
+            let repeated = [
+                (ListUpdate::Saved, vec![new_target()]),
+                (ListUpdate::Changes, vec![old()]),
+            ];
+            for updates in [&as_change[..], &as_list, &repeated] {
+                let (mut broker, _, _) = new(config());
+                for (update, targets) in updates {
+                    broker.update_engine_list(*update, targets.clone());
+                }
+                let expected = BTreeMap::from([(1, Gone), (2, new_state)]);
+                assert_eq!(listed_states(&mut broker), expected);
+                assert!(broker.engines.keys().eq([&EngineId(2)]));
+                let removal = target_at_address("s-1", "removed", 0.0);
+                broker.update_engine_list(ListUpdate::Changes, vec![removal]);
+                assert_eq!(listed_states(&mut broker), [(1, Gone)].into());
+                assert!(broker.engines.keys().eq([&EngineId(2)]));
+            }
+        }
+        // Without start times nothing tells which process is the later one.
+        let (mut broker, _, _) = new(config());
+        let other = target_at_address("s-2", "up", 0.0);
+        broker.update_engine_list(ListUpdate::Complete, vec![old(), other]);
+        assert_eq!(broker.engines.len(), 2);
+    });
+}
+
 /// Guards against timers that outlive what they guard: clients that ask again as soon as they are refused made the
 /// dispatcher exceed its memory limit.
 #[test]
--- a/dispatcher/tests/scenarios/harness.rs
+++ b/dispatcher/tests/scenarios/harness.rs
@@ -110,12 +110,8 @@
     {"name": "journal-load", "worth": 12.0, "on_time": 300.0, "give_up": 60000.0, "effect": "once"}],
   "tenants": [{"name": "acme", "portion": 1.0}]}"#;
 
-fn target_json(name: &str, endpoint: &str, state: &str) -> String {
-    target_json_with_boot(name, endpoint, state, 0)
-}
-
 /// A target of the engine list in the format of the change log.
-fn target_json_with_boot(name: &str, endpoint: &str, state: &str, boot_ms: u64) -> String {
+fn target_json(name: &str, endpoint: &str, state: &str, boot_ms: u64) -> String {
     let uid = name
         .bytes()
         .fold(0u32, |sum, byte| sum * 256 + u32::from(byte));
@@ -174,15 +170,15 @@
             match &name[..1] {
                 "e" => {
                     runtime.spawn(engines::run_resp_engine(listener, peer_task));
-                    targets.push(target_json_with_boot(name, &endpoint, "up", *boot_ms));
+                    targets.push(target_json(name, &endpoint, "up", *boot_ms));
                 }
                 "g" => {
                     runtime.spawn(flight_engine::run_flight_engine(listener, peer_task));
-                    targets.push(target_json_with_boot(name, &endpoint, "up", *boot_ms));
+                    targets.push(target_json(name, &endpoint, "up", *boot_ms));
                 }
                 "m" => {
                     runtime.spawn(engines::run_unresponsive_engine(listener, peer_task));
-                    targets.push(target_json_with_boot(name, &endpoint, "up", *boot_ms));
+                    targets.push(target_json(name, &endpoint, "up", *boot_ms));
                 }
                 "d" | "s" => {
                     // Without a listener the change log is down; a listener that is never read accepts
@@ -503,10 +499,14 @@
     directory
 }
 
-/// The change log event for `SEQ STATE NAME ENDPOINT`; the state `snapshot` makes it the complete list.
+/// The change log event for `SEQ STATE NAME ENDPOINT`; the state `snapshot` makes it the complete list. `STATE@BOOT_MS`
+/// gives the engine a start time.
 pub fn change_event(seq: &str, state: &str, name: &str, endpoint: &str) -> String {
+    let (state, boot_ms) = state.split_once('@').unwrap_or((state, "0"));
     let is_complete = state == "snapshot";
-    let target = target_json(name, endpoint, if is_complete { "up" } else { state });
+    let state = if is_complete { "up" } else { state };
+    let boot_ms = boot_ms.parse().expect("a start time");
+    let target = target_json(name, endpoint, state, boot_ms);
     format!(r#"{{"seq":{seq},"fleet":{{"rev":{seq},"all":{is_complete},"targets":[{target}]}}}}"#)
 }
 
--- a/dispatcher/tests/scenarios/lifecycle.rs
+++ b/dispatcher/tests/scenarios/lifecycle.rs
@@ -50,6 +50,28 @@
     );
 }
 
+/// Guards against an entry that outlives its process and sends to the later one at its address. The later one drains, so
+/// nothing may be sent to the address.
+#[test]
+fn nothing_is_sent_under_the_entry_of_a_process_whose_address_a_later_one_has() {
+    Harness::new(&["e1", "log"]).run_script(
+        "log expect subscribed 1
+         c1 send lookup 1
+         e1 expect fetch 1
+         e1 send 1 OK 1 a|b|c
+         c1 expect row a|b|c
+         c1 expect complete 1
+         log send 2 up@5000 e2 @e1
+         log send 3 draining@5000 e2 @e1
+         app wait : draining
+         c1 send lookup 3 700
+         c1 expect error 53300
+         log send 4 up@6000 e3 @e1
+         c1 send lookup 4
+         e1 expect fetch 4",
+    );
+}
+
 #[test]
 fn a_gap_in_the_change_log_requests_the_missing_changes_and_then_the_complete_list() {
     Harness::new(&["e1", "log"]).run_script(
