Number the actors of engines, and ignore reports of earlier ones

After an engine had moved, or its id was given to another one, a probe that the earlier actor still had out counted for the later process, and the end of one actor by a panic ended the attempts of the other.

Change: each actor has a number, which its reports carry. A report counts for the attempts of its own actor, a probe only for the current one. Actors are started in one place (ActorStarter).

reports_of_an_earlier_actor_are_not_taken_for_those_of_a_later_one is new.

--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -160,7 +160,7 @@
                 .open_requests
                 .values()
                 .flat_map(super::OpenRequest::attempts_in_flight)
-                .filter(|(_, attempt)| attempt.engine == *id)
+                .filter(|(_, attempt)| attempt.actor.engine == *id)
                 .count(),
         };
         AdminResponse::Engines(self.engines.iter().map(row).collect())
--- a/broker/src/engines.rs
+++ b/broker/src/engines.rs
@@ -9,10 +9,12 @@
     Outcome, RequestId,
 };
 use sedgebeam_port::{
-    EngineCommand, EngineReporter, EngineTransport, IdleEngine, ListUpdate, ProbeResult, Target,
+    BrokerSender, EngineActorId, EngineCommand, EngineReporter, EngineTransport, IdleEngine,
+    ListUpdate, ProbeResult, Target,
 };
 use sedgebeam_settings::millis_to_micros;
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use tokio::time::Instant;
 
 /// Maximum time between a change and its delivery by the change log.
@@ -33,6 +35,7 @@
 
 /// The broker's handle of an engine's actor.
 pub(super) struct Actor {
+    pub id: EngineActorId,
     pub mailbox: EngineSender,
     /// Attempts and probes sent to the actor.
     pub sent_count: u64,
@@ -44,17 +47,18 @@
     pub fn send_to_actor(
         &mut self,
         command: EngineCommand,
-        engine_transport: &dyn EngineTransport,
-        reporter: impl FnOnce() -> EngineReporter,
-    ) -> Option<EngineSender> {
+        start: impl FnOnce(&Target) -> Actor,
+    ) -> Option<&Actor> {
         let target = &self.target;
-        let actor = self.actor.get_or_insert_with(|| Actor {
-            mailbox: engine_transport.start(target, reporter()),
-            sent_count: 0,
-        });
+        let actor = self.actor.get_or_insert_with(|| start(target));
         actor.mailbox.try_send(command).ok()?;
         actor.sent_count += 1;
-        Some(actor.mailbox.clone())
+        Some(actor)
+    }
+
+    /// Whether this is the engine's actor.
+    fn has_actor(&self, id: EngineActorId) -> bool {
+        self.actor.as_ref().is_some_and(|actor| actor.id == id)
     }
 
     /// Sets the listed start time. The clocks of two machines may differ or be stepped, so the time is limited: it is
@@ -103,13 +107,48 @@
     }
 }
 
+/// Starts the actors of engines and numbers them.
+pub(super) struct ActorStarter {
+    pub engine_transport: Arc<dyn EngineTransport>,
+    /// Sends to the broker's mailbox.
+    pub broker: BrokerSender,
+    pub started_count: u64,
+}
+
+impl ActorStarter {
+    /// A function that starts the actor of an engine.
+    pub fn start(&mut self, engine: EngineId) -> impl FnOnce(&Target) -> Actor {
+        move |target| {
+            let id = EngineActorId {
+                engine,
+                instance: self.started_count,
+            };
+            self.started_count += 1;
+            let reporter = EngineReporter::new(id, self.broker.clone());
+            Actor {
+                id,
+                mailbox: self.engine_transport.start(target, reporter),
+                sent_count: 0,
+            }
+        }
+    }
+}
+
 impl Broker {
+    /// Handles the answer to a probe. That of an earlier actor is ignored: the engine may have moved.
+    pub(super) fn probe_ended(&mut self, actor: EngineActorId, probe: ProbeResult) {
+        let engine = self.engines.get(&actor.engine);
+        if engine.is_some_and(|engine| engine.has_actor(actor)) {
+            let (outcome, load) = probe_outcome(probe);
+            self.events.push(Event::Probed(actor.engine, outcome, load));
+        }
+    }
+
     pub(super) fn probe(&mut self, engine: EngineId) {
-        let reporter = || EngineReporter::new(engine, self.own_sender.clone());
+        let start = self.actor_starter.start(engine);
         let known_engine = self.engines.get_mut(&engine);
-        let sent = known_engine.and_then(|known_engine| {
-            known_engine.send_to_actor(EngineCommand::Probe, &*self.engine_transport, reporter)
-        });
+        let sent = known_engine
+            .and_then(|known_engine| known_engine.send_to_actor(EngineCommand::Probe, start));
         if sent.is_none() {
             self.events
                 .push(Event::Probed(engine, Outcome::ConnectFailed, None));
@@ -206,7 +245,7 @@
             self.remove_engine(id);
         }
         if self.engine_ids.insert(target.uid.clone(), id).is_none() {
-            self.engine_transport.engine_listed(target);
+            self.actor_starter.engine_transport.engine_listed(target);
         }
         let now = self.clock.micros(Instant::now());
         let engine = self.engines.entry(id).or_default();
@@ -271,24 +310,26 @@
     }
 
     /// Ends the attempts of an actor that has died; they may have run.
-    pub(super) fn engine_actor_died(&mut self, engine: EngineId) {
+    pub(super) fn engine_actor_died(&mut self, actor: EngineActorId) {
         let now = Instant::now();
         let attempts = self.open_requests.iter().flat_map(|(id, request)| {
-            let at_engine = request
+            let of_actor = request
                 .attempts_in_flight()
-                .filter(|(_, attempt)| attempt.engine == engine);
-            at_engine.map(|(attempt_no, _)| (*id, attempt_no))
+                .filter(|(_, attempt)| attempt.actor == actor);
+            of_actor.map(|(attempt_no, _)| (*id, attempt_no))
         });
         let attempts: Vec<(RequestId, AttemptNo)> = attempts.collect();
         for (id, attempt_no) in attempts {
             if self.is_aborting(id, attempt_no) {
                 self.abort_confirmed(id, attempt_no);
             } else if let Some(attempt) = self.remove_attempt(id, attempt_no) {
-                self.report_outcome(id, attempt_no, engine, Outcome::Reset, attempt.sent_at, now);
+                let outcome = Outcome::Reset;
+                self.report_outcome(id, attempt_no, actor.engine, outcome, attempt.sent_at, now);
             }
         }
         // The next attempt or probe starts a new actor.
-        if let Some(known_engine) = self.engines.get_mut(&engine) {
+        let known_engine = self.engines.get_mut(&actor.engine);
+        if let Some(known_engine) = known_engine.filter(|engine| engine.has_actor(actor)) {
             known_engine.actor = None;
         }
     }
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -13,7 +13,7 @@
 mod timers;
 
 use admin::Tally;
-use engines::{KnownEngine, probe_outcome};
+use engines::{ActorStarter, KnownEngine};
 use recent_requests::RecentRequests;
 use requests::{InFlightAttempt, OpenRequest, PendingAbort};
 use sedgebeam_core::{
@@ -23,8 +23,8 @@
 use sedgebeam_operation::{Metrics, metrics};
 use sedgebeam_port::clock::{Clock, to_duration, to_micros};
 use sedgebeam_port::{
-    Answer, Attempt, AttemptResult, BrokerMessage, BrokerSender, EngineCommand, EngineReport,
-    EngineReporter, EngineSender, EngineTransport, Failure, HEARTBEAT_INTERVAL, ListUpdate,
+    Answer, Attempt, AttemptResult, BrokerMessage, BrokerSender, EngineActorId, EngineCommand,
+    EngineReport, EngineSender, EngineTransport, Failure, HEARTBEAT_INTERVAL, ListUpdate,
     NewRequest, Page, ResultPages, memory_grant,
 };
 use sedgebeam_reconfigure::RuntimeSettings;
@@ -55,13 +55,11 @@
     class_names: Vec<Arc<str>>,
     /// Maximum number of open requests, updated with each lease if there are several shards.
     max_open_requests: usize,
-    engine_transport: Arc<dyn EngineTransport>,
+    actor_starter: ActorStarter,
     shard: Option<Shard>,
     /// Another shard has released capacity that this one may be waiting for.
     capacity_released: bool,
     clock: Clock,
-    /// Sends to the broker's own mailbox.
-    own_sender: BrokerSender,
     open_requests: HashMap<RequestId, OpenRequest>,
     recent_requests: RecentRequests,
     engines: BTreeMap<EngineId, KnownEngine>,
@@ -109,11 +107,14 @@
         settings,
         names,
         max_open_requests,
-        engine_transport: config.engine_transport,
+        actor_starter: ActorStarter {
+            engine_transport: config.engine_transport,
+            broker: own_sender.clone(),
+            started_count: 0,
+        },
         shard: config.shard,
         capacity_released: false,
         clock: config.clock,
-        own_sender: own_sender.clone(),
         open_requests: HashMap::new(),
         recent_requests: RecentRequests::default(),
         engines: BTreeMap::new(),
@@ -386,30 +387,8 @@
         match message {
             BrokerMessage::Submit(request, reply) => self.submit(request, reply),
             BrokerMessage::ClientLeft(id) => self.client_left_message(id),
-            BrokerMessage::EngineReport(
-                engine,
-                EngineReport::AttemptEnded(id, attempt_no, result),
-            ) => {
-                self.attempt_ended(engine, id, attempt_no, result);
-            }
-            BrokerMessage::EngineReport(engine, EngineReport::AbortConfirmed(id, attempt_no)) => {
-                if self.is_in_flight(engine, id, attempt_no) {
-                    self.abort_confirmed(id, attempt_no);
-                }
-            }
-            BrokerMessage::EngineReport(engine, EngineReport::Note(id, attempt_no, note)) => {
-                if self.is_in_flight(engine, id, attempt_no) && !self.is_aborting(id, attempt_no) {
-                    self.events.push(Event::Note(id, attempt_no, note));
-                }
-            }
-            BrokerMessage::EngineReport(engine, EngineReport::Probed(probe)) => {
-                let (outcome, load) = probe_outcome(probe);
-                self.events.push(Event::Probed(engine, outcome, load));
-            }
-            BrokerMessage::EngineReport(engine, EngineReport::Idle(idle_engine)) => {
-                self.engine_idle(engine, &idle_engine)
-            }
-            BrokerMessage::EngineActorDied(engine) => self.engine_actor_died(engine),
+            BrokerMessage::EngineReport(actor, report) => self.handle_report(actor, report),
+            BrokerMessage::EngineActorDied(actor) => self.engine_actor_died(actor),
             BrokerMessage::EngineList(update, targets) => self.update_engine_list(update, targets),
             BrokerMessage::GetHandoverState(reply) => {
                 // The requester may have stopped waiting.
@@ -435,6 +414,26 @@
         }
     }
 
+    fn handle_report(&mut self, actor: EngineActorId, report: EngineReport) {
+        match report {
+            EngineReport::AttemptEnded(id, attempt_no, result) => {
+                self.attempt_ended(actor, id, attempt_no, result);
+            }
+            EngineReport::AbortConfirmed(id, attempt_no) => {
+                if self.is_in_flight(actor, id, attempt_no) {
+                    self.abort_confirmed(id, attempt_no);
+                }
+            }
+            EngineReport::Note(id, attempt_no, note) => {
+                if self.is_in_flight(actor, id, attempt_no) && !self.is_aborting(id, attempt_no) {
+                    self.events.push(Event::Note(id, attempt_no, note));
+                }
+            }
+            EngineReport::Probed(probe) => self.probe_ended(actor, probe),
+            EngineReport::Idle(idle_engine) => self.engine_idle(actor.engine, &idle_engine),
+        }
+    }
+
     /// Applies new settings. Earlier events refer to the old settings, so the gateway processes them first.
     fn reconfigure(&mut self, runtime_settings: &RuntimeSettings) {
         if !self.events.is_empty() {
@@ -597,14 +596,14 @@
 
     // ---- Attempts ----
 
-    /// Whether the attempt is in flight at this engine. An attempt with the same number of an earlier request with the
-    /// same id may have been sent to another engine.
-    fn is_in_flight(&self, engine: EngineId, id: RequestId, attempt_no: AttemptNo) -> bool {
+    /// Whether the attempt is in flight at this actor. An attempt with the same number of an earlier request with the
+    /// same id may have been sent to another one.
+    fn is_in_flight(&self, actor: EngineActorId, id: RequestId, attempt_no: AttemptNo) -> bool {
         let attempt = self
             .open_requests
             .get(&id)
             .and_then(|request| request.attempt_in_flight(attempt_no));
-        attempt.is_some_and(|attempt| attempt.engine == engine)
+        attempt.is_some_and(|attempt| attempt.actor == actor)
     }
 
     /// Sets the memory grant of the next attempt, and the priority, which also applies to attempts in flight.
@@ -688,17 +687,13 @@
             }),
         };
         let cancel_token = attempt.cancel_token.clone();
-        let reporter = || EngineReporter::new(engine_id, self.own_sender.clone());
-        let Some(mailbox) = engine.send_to_actor(
-            EngineCommand::Send(attempt),
-            &*self.engine_transport,
-            reporter,
-        ) else {
+        let start = self.actor_starter.start(engine_id);
+        let Some(actor) = engine.send_to_actor(EngineCommand::Send(attempt), start) else {
             return self.report_unsent(id, engine_id, Outcome::ConnectFailed, now);
         };
         request.attempts.push(Some(InFlightAttempt {
-            engine: engine_id,
-            mailbox,
+            actor: actor.id,
+            mailbox: actor.mailbox.clone(),
             sent_at: now,
             cancel_token,
             timeout_timer: self
@@ -820,7 +815,7 @@
             self.report_outcome(
                 id,
                 attempt_no,
-                attempt.engine,
+                attempt.actor.engine,
                 outcome,
                 attempt.sent_at,
                 aborted_at,
@@ -845,14 +840,14 @@
 
     fn attempt_ended(
         &mut self,
-        engine: EngineId,
+        actor: EngineActorId,
         id: RequestId,
         attempt_no: AttemptNo,
         result: AttemptResult,
     ) {
         let now = Instant::now();
         // A result that arrives after a cancellation or a timeout is ignored: the attempt has its outcome.
-        if !self.is_in_flight(engine, id, attempt_no) {
+        if !self.is_in_flight(actor, id, attempt_no) {
             return;
         }
         if self.is_aborting(id, attempt_no) {
@@ -871,7 +866,7 @@
             AttemptResult::ConnectFailed => Outcome::ConnectFailed,
             AttemptResult::Reset => Outcome::Reset,
         };
-        self.report_outcome(id, attempt_no, engine, outcome, attempt.sent_at, now);
+        self.report_outcome(id, attempt_no, actor.engine, outcome, attempt.sent_at, now);
     }
 
     /// Answers the request with the result of its first successful attempt.
@@ -894,7 +889,7 @@
         self.events.push(Event::Ended(AttemptEnded {
             request: id,
             attempt: attempt_no,
-            engine: attempt.engine,
+            engine: attempt.actor.engine,
             outcome: Outcome::Ok,
             elapsed: to_micros(attempt.sent_at.elapsed()),
             request_finished: true,
--- a/broker/src/requests.rs
+++ b/broker/src/requests.rs
@@ -2,8 +2,8 @@
 
 use crate::timers::TimerKey;
 use bytes::Bytes;
-use sedgebeam_core::{AttemptNo, ClassId, EngineId, Outcome, TenantId};
-use sedgebeam_port::{Answer, EngineSender, NewRequest};
+use sedgebeam_core::{AttemptNo, ClassId, Outcome, TenantId};
+use sedgebeam_port::{Answer, EngineActorId, EngineSender, NewRequest};
 use std::num::NonZeroU32;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -12,7 +12,7 @@
 
 /// An attempt in flight.
 pub struct InFlightAttempt {
-    pub engine: EngineId,
+    pub actor: EngineActorId,
     pub mailbox: EngineSender,
     pub sent_at: Instant,
     /// Cancelled once the attempt has ended, so that nothing more of it is written.
--- a/broker/src/tests.rs
+++ b/broker/src/tests.rs
@@ -4,12 +4,16 @@
 use super::*;
 use bytes::Bytes;
 use sedgebeam_core::{ClassId, TableGroupId};
-use sedgebeam_port::{IdleEngine, Target};
+use sedgebeam_port::{EngineReporter, IdleEngine, ProbeResult, Target};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
 const ID: RequestId = RequestId(7);
 const ENGINE: EngineId = EngineId(1);
+const ACTOR: EngineActorId = EngineActorId {
+    engine: ENGINE,
+    instance: 0,
+};
 const FIRST: AttemptNo = AttemptNo(0);
 
 type AbortMethod = fn(&mut Broker, RequestId, AttemptNo, Instant);
@@ -69,6 +73,7 @@
         target: <Target as Default>::default(),
         is_ready: true,
         actor: Some(engines::Actor {
+            id: ACTOR,
             mailbox,
             sent_count: 0,
         }),
@@ -122,7 +127,7 @@
     }
 
     fn end(&mut self, result: AttemptResult) {
-        self.broker.attempt_ended(ENGINE, ID, FIRST, result);
+        self.broker.attempt_ended(ACTOR, ID, FIRST, result);
     }
 
     /// The outcomes in the gateway's next batch: attempt number, outcome, and whether the request is finished.
@@ -216,7 +221,7 @@
         for _ in 0..4 {
             with_attempts_exhausted.send();
             with_attempts_exhausted.broker.attempt_ended(
-                ENGINE,
+                ACTOR,
                 ID,
                 AttemptNo(
                     with_attempts_exhausted.broker.open_requests[&ID]
@@ -351,7 +356,7 @@
         fixture.broker.handle_message(BrokerMessage::ClientLeft(ID));
         let unanswered = oneshot::error::TryRecvError::Empty;
         assert_eq!(fixture.answer.try_recv().err(), Some(unanswered));
-        assert!(fixture.broker.is_in_flight(ENGINE, ID, FIRST));
+        assert!(fixture.broker.is_in_flight(ACTOR, ID, FIRST));
     });
 }
 
@@ -396,7 +401,7 @@
         fixture.send();
         fixture
             .broker
-            .handle_message(BrokerMessage::EngineActorDied(ENGINE));
+            .handle_message(BrokerMessage::EngineActorDied(ACTOR));
         assert_eq!(fixture.outcomes(), [(0, Outcome::Reset, false)]);
     });
 }
@@ -488,16 +493,20 @@
         fixture.send();
         fixture.broker.process_batch(Instant::now());
         fixture.broker.process_batch(Instant::now());
+        let other_actor = EngineActorId {
+            engine: EngineId(2),
+            ..ACTOR
+        };
         // All timers of the first request fire, and another engine ends an attempt with the same number.
         fixture
             .broker
             .fire_timers(Instant::now() + Duration::from_secs(30));
         fixture
             .broker
-            .attempt_ended(EngineId(2), ID, FIRST, AttemptResult::NotRun);
+            .attempt_ended(other_actor, ID, FIRST, AttemptResult::NotRun);
         let unanswered = oneshot::error::TryRecvError::Empty;
         assert_eq!(answer.try_recv().err(), Some(unanswered));
-        assert!(fixture.broker.is_in_flight(ENGINE, ID, FIRST));
+        assert!(fixture.broker.is_in_flight(ACTOR, ID, FIRST));
     });
 }
 
@@ -616,7 +625,7 @@
         assert_eq!(grant_of(&mut fixture), Some(128));
         fixture
             .broker
-            .attempt_ended(ENGINE, ID, AttemptNo(1), AttemptResult::Busy);
+            .attempt_ended(ACTOR, ID, AttemptNo(1), AttemptResult::Busy);
         // New settings disable grants, and the gateway may not replace the grant that it set before.
         fixture.broker.settings.takes_grants = false;
         fixture.send();
@@ -660,7 +669,7 @@
 
 fn abort_confirmation(attempt_no: u32) -> BrokerMessage {
     BrokerMessage::EngineReport(
-        ENGINE,
+        ACTOR,
         EngineReport::AbortConfirmed(ID, AttemptNo(attempt_no)),
     )
 }
@@ -750,7 +759,7 @@
         with_dead_actor.broker.cancel_attempt(ID, FIRST, now);
         with_dead_actor
             .broker
-            .handle_message(BrokerMessage::EngineActorDied(ENGINE));
+            .handle_message(BrokerMessage::EngineActorDied(ACTOR));
         assert_eq!(with_dead_actor.outcomes(), [(0, Outcome::Cancelled, false)]);
     });
 }
@@ -905,6 +914,49 @@
     });
 }
 
+/// An engine has moved to another address while a probe and an attempt are out at its earlier actor: what that actor
+/// reports is not taken for the process at the new address.
+#[test]
+fn reports_of_an_earlier_actor_are_not_taken_for_those_of_a_later_one() {
+    run_in_runtime(|| {
+        let mut fixture = fixture();
+        fixture.send();
+        fixture.broker.remove_engine(ENGINE);
+        let later_actor = EngineActorId {
+            instance: 1,
+            ..ACTOR
+        };
+        let (mailbox, _commands) = mpsc::channel(16);
+        let moved = KnownEngine {
+            is_ready: true,
+            actor: Some(engines::Actor {
+                id: later_actor,
+                mailbox,
+                sent_count: 0,
+            }),
+            ..KnownEngine::default()
+        };
+        fixture.broker.engines.insert(ENGINE, moved);
+        fixture.broker.probe(ENGINE);
+        let probe_report = |actor| {
+            let report = EngineReport::Probed(ProbeResult::Up(None));
+            BrokerMessage::EngineReport(actor, report)
+        };
+        fixture.broker.handle_message(probe_report(ACTOR));
+        assert!(fixture.broker.events.is_empty(), "an earlier probe");
+        fixture.broker.handle_message(probe_report(later_actor));
+        assert!(matches!(
+            fixture.broker.events[..],
+            [Event::Probed(ENGINE, Outcome::Ok, None)]
+        ));
+        let died = BrokerMessage::EngineActorDied(later_actor);
+        fixture.broker.handle_message(died);
+        assert!(fixture.broker.is_in_flight(ACTOR, ID, FIRST));
+        fixture.end(success());
+        assert_eq!(fixture.outcomes(), [(0, Outcome::Ok, true)]);
+    });
+}
+
 /// Guards against timers that outlive what they guard: clients that ask again as soon as they are refused made the
 /// dispatcher exceed its memory limit.
 #[test]
--- a/dispatcher/tests/scenarios/engine_actor.rs
+++ b/dispatcher/tests/scenarios/engine_actor.rs
@@ -8,8 +8,8 @@
 use sedgebeam_engines::{ConnectionSlots, NetworkTransport};
 use sedgebeam_operation::Metrics;
 use sedgebeam_port::{
-    Attempt, AttemptResult, BrokerMessage, EngineCommand, EngineReport, EngineReporter,
-    EngineSender, EngineTransport, Page, ProbeResult, Target,
+    Attempt, AttemptResult, BrokerMessage, EngineActorId, EngineCommand, EngineReport,
+    EngineReporter, EngineSender, EngineTransport, Page, ProbeResult, Target,
 };
 use sedgebeam_settings::ConnectionSettings;
 use std::time::Duration;
@@ -19,6 +19,11 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+const ACTOR: EngineActorId = EngineActorId {
+    engine: EngineId(1),
+    instance: 0,
+};
+
 /// Longer than any test runs.
 const LONGER_THAN_ANY_TEST: Duration = Duration::from_secs(600);
 
@@ -77,7 +82,7 @@
         metrics: Metrics::default(),
         slots,
     };
-    let actor = engine_transport.start(&target, EngineReporter::new(EngineId(1), broker));
+    let actor = engine_transport.start(&target, EngineReporter::new(ACTOR, broker));
     ActorFixture {
         engine,
         actor,
@@ -168,7 +173,7 @@
 
     async fn next_report(&mut self) -> EngineReport {
         match next_report_except_idle(&mut self.reports).await {
-            Some(BrokerMessage::EngineReport(EngineId(1), report)) => report,
+            Some(BrokerMessage::EngineReport(ACTOR, report)) => report,
             other => panic!("no report: {other:?}"),
         }
     }
@@ -498,7 +503,7 @@
                         EngineReport::AttemptEnded(RequestId(id), AttemptNo(0), AttemptResult::NotRun);
                     assert_eq!(
                         format!("{report:?}"),
-                        format!("{:?}", Some(BrokerMessage::EngineReport(EngineId(1), not_run)))
+                        format!("{:?}", Some(BrokerMessage::EngineReport(ACTOR, not_run)))
                     );
                 }
             }
--- a/engines/src/flight/tests.rs
+++ b/engines/src/flight/tests.rs
@@ -4,13 +4,18 @@
 use crate::{ConnectionSlots, NetworkTransport};
 use sedgebeam_core::{AttemptNo, EngineId, Micros, RequestId};
 use sedgebeam_operation::Metrics;
-use sedgebeam_port::{Attempt, EngineReporter};
+use sedgebeam_port::{Attempt, EngineActorId, EngineReporter};
 use sedgebeam_settings::ConnectionSettings;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+const ACTOR: EngineActorId = EngineActorId {
+    engine: EngineId(1),
+    instance: 0,
+};
+
 const CONNECTION_SETTINGS: ConnectionSettings = ConnectionSettings {
     max_per_engine: 1,
     max_total: 1,
@@ -39,7 +44,7 @@
     let task = AttemptTask {
         attempt,
         endpoint: String::new(),
-        reporter: EngineReporter::new(EngineId(1), broker),
+        reporter: EngineReporter::new(ACTOR, broker),
         transport: NetworkTransport {
             connections: watch::channel(CONNECTION_SETTINGS).1,
             metrics: Metrics::default(),
--- a/engines/src/resp/tests.rs
+++ b/engines/src/resp/tests.rs
@@ -4,7 +4,7 @@
 use crate::ConnectionSlots;
 use sedgebeam_core::EngineId;
 use sedgebeam_operation::Metrics;
-use sedgebeam_port::{BrokerMessage, EngineSender};
+use sedgebeam_port::{BrokerMessage, EngineActorId, EngineSender};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,6 +16,11 @@
 use tokio::task::yield_now;
 use tokio::time::advance;
 
+const ACTOR: EngineActorId = EngineActorId {
+    engine: EngineId(1),
+    instance: 0,
+};
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The time by which tests advance the paused clock.
 const STEP: Duration = Duration::from_millis(10);
@@ -210,7 +215,7 @@
         };
         let (mailbox, incoming) = mpsc::channel(1024);
         let (broker, reports) = mpsc::channel(1024);
-        let reporter = EngineReporter::new(EngineId(1), broker);
+        let reporter = EngineReporter::new(ACTOR, broker);
         let weak_mailbox = mailbox.downgrade();
         tokio::spawn(run(
             engine_address.to_string(),
@@ -678,7 +683,7 @@
     };
     let (broker, _reports) = mpsc::channel(4);
     let (events, _incoming_events) = mpsc::channel(4);
-    let reporter = EngineReporter::new(EngineId(1), broker);
+    let reporter = EngineReporter::new(ACTOR, broker);
     let mut actor = Actor::new("127.0.0.1:1".to_string(), transport, reporter, events);
     assert_eq!(actor.next_check_at(), None);
     actor.probe().await;
--- a/port/src/engine.rs
+++ b/port/src/engine.rs
@@ -164,23 +164,32 @@
     fn start(&self, target: &Target, reporter: EngineReporter) -> EngineSender;
 }
 
+/// Identifies an actor. An engine has another one after it was idle, has died or has moved, and another engine may get the
+/// id of one that is gone: late reports of an earlier actor must not be taken for those of a later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineActorId {
+    pub engine: EngineId,
+    /// Number of actors that the broker had started before.
+    pub instance: u64,
+}
+
 /// Sends the reports of one engine's actor to the broker.
 #[derive(Clone)]
 pub struct EngineReporter {
-    engine: EngineId,
+    actor: EngineActorId,
     broker: BrokerSender,
 }
 
 impl EngineReporter {
-    pub fn new(engine: EngineId, broker: BrokerSender) -> EngineReporter {
-        EngineReporter { engine, broker }
+    pub fn new(actor: EngineActorId, broker: BrokerSender) -> EngineReporter {
+        EngineReporter { actor, broker }
     }
 
     pub async fn send(&self, report: EngineReport) {
         // The channel closes only when the process is ending.
         let _ = self
             .broker
-            .send(BrokerMessage::EngineReport(self.engine, report))
+            .send(BrokerMessage::EngineReport(self.actor, report))
             .await;
     }
 
@@ -204,7 +213,7 @@
         // The channel closes only when the process is ending.
         let _ = self
             .broker
-            .send(BrokerMessage::EngineActorDied(self.engine))
+            .send(BrokerMessage::EngineActorDied(self.actor))
             .await;
     }
 }
--- a/port/src/lib.rs
+++ b/port/src/lib.rs
@@ -17,8 +17,8 @@
 };
 pub use answer::{Answer, Failure, PendingAnswer, ResultLost, ResultPages};
 pub use engine::{
-    Attempt, AttemptResult, EngineCommand, EngineReport, EngineReporter, EngineSender,
-    EngineTransport, IdleEngine, Page, PageRequest, ProbeResult, memory_grant,
+    Attempt, AttemptResult, EngineActorId, EngineCommand, EngineReport, EngineReporter,
+    EngineSender, EngineTransport, IdleEngine, Page, PageRequest, ProbeResult, memory_grant,
 };
 pub use request::{BrokerMessage, BrokerSender, NewRequest, SessionKey};
 pub use request_router::{BrokerClosed, HEARTBEAT_INTERVAL, RequestRouter, UnmatchedCancel};
--- a/port/src/request.rs
+++ b/port/src/request.rs
@@ -1,8 +1,11 @@
 //! Client requests and the other messages that a broker receives.
 
-use crate::{AdminError, AdminRequest, AdminResponse, Answer, EngineReport, ListUpdate, Target};
+use crate::{
+    AdminError, AdminRequest, AdminResponse, Answer, EngineActorId, EngineReport, ListUpdate,
+    Target,
+};
 use bytes::Bytes;
-use sedgebeam_core::{ClassId, EngineId, HandoverState, Micros, RequestId, TableGroupId};
+use sedgebeam_core::{ClassId, HandoverState, Micros, RequestId, TableGroupId};
 use sedgebeam_reconfigure::RuntimeSettings;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -50,9 +53,9 @@
     Submit(NewRequest, oneshot::Sender<Answer>),
     /// The client disconnected or cancelled the request.
     ClientLeft(RequestId),
-    EngineReport(EngineId, EngineReport),
+    EngineReport(EngineActorId, EngineReport),
     /// The actor of an engine panicked; its attempts in flight may have run.
-    EngineActorDied(EngineId),
+    EngineActorDied(EngineActorId),
     /// An update of the engine list.
     EngineList(ListUpdate, Vec<Target>),
     /// Asks for the gateway's handover state.
