Bound the statements of Flight SQL tickets by their bytes

Change: the table of tickets has a module of its own, a bound of 4 MiB for the statements of issued tickets, and keeps a copy of the statement alone.

the_statements_of_tickets_that_are_not_redeemed_are_bounded_together passes with the change.

--- a/fronts/src/flight.rs
+++ b/fronts/src/flight.rs
@@ -3,6 +3,8 @@
 //! GetFlightInfo parses a statement and issues a ticket; DoGet redeems the ticket, once, and runs the statement. The
 //! request's fields are in a comment ahead of the statement, as on the PostgreSQL front, or in the call's metadata.
 
+mod tickets;
+
 use super::retry_delay::RetryDelay;
 use super::{FrontContext, failure_message, statement};
 use arrow_array::RecordBatch;
@@ -23,9 +25,9 @@
 use prost::Message;
 use sedgebeam_arrow as arrow;
 use sedgebeam_port::{Answer, Failure, NewRequest, ResultLost, ResultPages, supervise};
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tickets::{RedeemError, TicketState, TicketTable};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -35,8 +37,6 @@
 
 /// Bound on the size of one gRPC message from a client.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
-/// Maximum number of outstanding tickets: issued, or redeemed by a call that has not ended.
-const MAX_TICKETS: usize = 4096;
 /// The prefix of the metadata keys that carry request fields.
 const FIELD_KEY_PREFIX: &str = "sedgebeam-";
 /// The type of the action that cancels a ticket.
@@ -44,28 +44,6 @@
 
 type FlightStream = <Front as FlightService>::DoGetStream;
 
-enum TicketState {
-    Issued(Box<NewRequest>),
-    /// Redeemed: the token that cancels the request, and the request's deadline.
-    Redeemed(CancellationToken, Instant),
-}
-
-/// The outstanding tickets by their numbers.
-#[derive(Default)]
-struct TicketTable {
-    tickets: HashMap<u64, TicketState>,
-    last_number: u64,
-}
-
-impl TicketTable {
-    fn remove_expired(&mut self, now: Instant) {
-        self.tickets.retain(|_, state| match state {
-            TicketState::Issued(request) => now < request.deadline,
-            TicketState::Redeemed(_, deadline) => now < *deadline,
-        });
-    }
-}
-
 /// The Flight SQL service; clones share one table of tickets.
 #[derive(Clone)]
 pub struct Front {
@@ -77,13 +55,9 @@
     /// Each worker must serve a clone of one front, so that a ticket can be redeemed on any worker. Ticket numbers
     /// continue from `seed`.
     pub fn new(front_context: FrontContext, seed: u64) -> Front {
-        let ticket_table = TicketTable {
-            last_number: seed,
-            ..TicketTable::default()
-        };
         Front {
             front_context,
-            ticket_table: Arc::new(Mutex::new(ticket_table)),
+            ticket_table: Arc::new(Mutex::new(TicketTable::new(seed))),
         }
     }
 
@@ -170,49 +144,29 @@
 
     /// Stores a request under a new ticket, whose number is returned.
     fn issue_ticket(&self, request: NewRequest) -> Result<u64, Status> {
-        let mut table = self.ticket_table();
-        if table.tickets.len() >= MAX_TICKETS {
-            table.remove_expired(Instant::now());
-        }
-        if table.tickets.len() >= MAX_TICKETS {
+        let number = self.ticket_table().issue(request, Instant::now());
+        number.ok_or_else(|| {
             let runtime_settings = self.front_context.router.runtime_settings();
-            return Err(refused_status(RetryDelay::default_for(
-                &runtime_settings.settings,
-            )));
-        }
-        // The step is odd, so no number repeats before all others were used.
-        table.last_number = table.last_number.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let number = table.last_number;
-        table
-            .tickets
-            .insert(number, TicketState::Issued(Box::new(request)));
-        Ok(number)
+            refused_status(RetryDelay::default_for(&runtime_settings.settings))
+        })
     }
 
     /// Returns the request of a ticket, only once: a second DoGet must not run it again.
     fn redeem(&self, handle: &[u8]) -> Result<(NewRequest, RedeemedTicket), Status> {
         let number = ticket_number(handle)?;
-        let mut table = self.ticket_table();
-        let unknown_ticket = || Status::not_found("this ticket was never given, or is over");
-        match table.tickets.remove(&number).ok_or_else(unknown_ticket)? {
-            TicketState::Issued(request) => {
-                let cancel_token = request.cancel_token.clone();
-                let redeemed = TicketState::Redeemed(cancel_token.clone(), request.deadline);
-                table.tickets.insert(number, redeemed);
-                let ticket = RedeemedTicket {
-                    front: self.clone(),
-                    number,
-                    cancel_token,
-                };
-                Ok((*request, ticket))
-            }
-            redeemed => {
-                table.tickets.insert(number, redeemed);
-                Err(Status::failed_precondition(
-                    "this ticket has been redeemed already",
-                ))
+        let redeemed = self.ticket_table().redeem(number);
+        let request = redeemed.map_err(|error| match error {
+            RedeemError::Unknown => Status::not_found("this ticket was never given, or is over"),
+            RedeemError::Redeemed => {
+                Status::failed_precondition("this ticket has been redeemed already")
             }
-        }
+        })?;
+        let ticket = RedeemedTicket {
+            front: self.clone(),
+            number,
+            cancel_token: request.cancel_token.clone(),
+        };
+        Ok((request, ticket))
     }
 
     /// Cancels the request of a ticket, whether it has been redeemed or not.
@@ -228,7 +182,7 @@
             .and_then(|any| any.unpack::<TicketStatementQuery>().ok().flatten());
         let query = query.ok_or_else(|| invalid_argument("a ticket that was not given here"))?;
         let number = ticket_number(&query.statement_handle)?;
-        let state = self.ticket_table().tickets.remove(&number);
+        let state = self.ticket_table().remove(number);
         match state.ok_or_else(|| Status::not_found("this ticket is over"))? {
             TicketState::Issued(_) => {}
             TicketState::Redeemed(cancel_token, _) => cancel_token.cancel(),
@@ -271,7 +225,7 @@
 
 impl Drop for RedeemedTicket {
     fn drop(&mut self) {
-        self.front.ticket_table().tickets.remove(&self.number);
+        self.front.ticket_table().remove(self.number);
     }
 }
 
--- a/fronts/src/flight/tests.rs
+++ b/fronts/src/flight/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the retry delay that refused Flight SQL calls carry.
 
+use super::tickets::{MAX_ISSUED_BYTES, MAX_TICKETS};
 use super::*;
 use crate::test_router::{STATEMENT, refuse_next_request, test_router};
 
@@ -50,3 +51,36 @@
         );
     }
 }
+
+/// Guards against tickets that are counted and not weighed: 4,096 tickets of long statements filled a gigabyte.
+#[tokio::test]
+async fn the_statements_of_tickets_that_are_not_redeemed_are_bounded_together() {
+    let (router, _broker) = test_router(1000).await;
+    let front = Front::new(FrontContext { router }, 1);
+    let statement_bytes = 200_000;
+    let parse = |comment_bytes: usize| {
+        let text = STATEMENT.replace(" */", &format!(",more={} */", "x".repeat(comment_bytes)));
+        let padding = statement_bytes - comment_bytes;
+        let text = format!("{text}{}", " ".repeat(padding));
+        let request = front.parse_request(text, &MetadataMap::new());
+        request.expect("the request is valid")
+    };
+    let mut numbers = Vec::new();
+    let refusal = loop {
+        match front.issue_ticket(parse(0)) {
+            Ok(number) => numbers.push(number),
+            Err(refusal) => break refusal,
+        }
+    };
+    assert_eq!(refusal.code(), Code::ResourceExhausted);
+    assert_eq!(numbers.len(), MAX_ISSUED_BYTES / statement_bytes);
+    // A redeemed or cancelled ticket makes room for another one.
+    let (_request, _ticket) = front.redeem(&numbers[0].to_be_bytes()).expect("redeems");
+    assert!(front.issue_ticket(parse(0)).is_ok());
+    assert!(front.issue_ticket(parse(0)).is_err());
+    // Of a request with a long comment only the statement is kept.
+    let number = front.issue_ticket(parse(statement_bytes)).expect("room");
+    let (request, _ticket) = front.redeem(&number.to_be_bytes()).expect("redeems");
+    let kept = request.statement.try_into_mut().map(|kept| kept.capacity());
+    assert!(kept.is_ok_and(|kept| kept < 1_000));
+}
