Wait until a broken Flight SQL connection is noticed before the next load

Its engine closes the connection, and the load is sent at once; where the dispatcher reads the load before the close, it goes out over the broken connection and may have run, which 58000 says rightly. The test means a connection that is known to have broken. It waits for the log line of the close now, and expects the same.

--- a/dispatcher/tests/scenarios/wire.rs
+++ b/dispatcher/tests/scenarios/wire.rs
@@ -145,17 +145,21 @@
 
 #[test]
 fn a_flight_engine_that_has_stopped_never_ran_the_attempts_sent_to_it() {
-    // Once without an earlier connection, and once with a connection that has broken since.
-    for earlier_request in [
-        "",
-        "c1 send lookup 1\ng1 expect fetch 1\ng1 send 1 OK 1 a|b|c\nc1 expect row\nc1 expect complete",
+    // Once without an earlier connection, and once with a connection that has broken since. A load that is sent before
+    // the dispatcher has noticed that may have run.
+    for (earlier_request, close_noticed) in [
+        ("", ""),
+        (
+            "c1 send lookup 1\ng1 expect fetch 1\ng1 send 1 OK 1 a|b|c\nc1 expect row\nc1 expect complete",
+            "app wait connection to grpc",
+        ),
     ] {
         let mut harness = Harness::new(&["g1"]);
         harness.run_script(earlier_request);
+        harness.run_script("g1 close\ng1 expect closed");
+        harness.run_script(close_noticed);
         harness.run_script(
-            "g1 close
-             g1 expect closed
-             c1 send journal-load 2 700
+            "c1 send journal-load 2 700
              c1 expect error 53300",
         );
     }
