Soak: engines tell the work that their attempts count with

Cause: the fake engines told 5 ms of work for every answer, while the checker counts 80 ms or 2 s. Since the work that answers show bounds the estimates, the dispatcher reckoned with 20 ms and sent more. The fake engine was wrong, as it told another work than it did; it tells the checker's figures now.

--- a/dispatcher/tests/soak/fakes.rs
+++ b/dispatcher/tests/soak/fakes.rs
@@ -136,6 +136,8 @@
 /// An attempt whose answer is due.
 struct DueAnswer {
     id: String,
+    /// Work that the attempt counts with, which its answer tells.
+    work_ms: u64,
     plan: Plan,
 }
 
@@ -228,15 +230,13 @@
                 let time_limit_ms = time_limit_field
                     .and_then(|ms| ms.parse::<Micros>().ok())
                     .unwrap_or_default();
+                let is_lookup = header.starts_with("kind=lookup");
+                let work_ms = if is_lookup { 80 } else { 2_000 };
                 self.recorder.record(Event::AttemptStarted {
                     request,
                     engine: self.engine,
                     announced_time_limit: time_limit_ms * MILLISECOND,
-                    work_ms: if header.starts_with("kind=lookup") {
-                        80
-                    } else {
-                        2_000
-                    },
+                    work_ms,
                 });
                 self.in_flight.insert(id.clone(), request);
                 let plan = self.draw_plan();
@@ -249,7 +249,7 @@
                 tokio::spawn(async move {
                     sleep(answer_time).await;
                     if !is_hung.load(Ordering::Relaxed) {
-                        let _ = due_sender.send(DueAnswer { id, plan });
+                        let _ = due_sender.send(DueAnswer { id, work_ms, plan });
                     }
                 });
             }
@@ -266,8 +266,8 @@
         if !self.in_flight.contains_key(&due_answer.id) {
             return true;
         }
-        let ok_answer =
-            encode_array(&[&due_answer.id, "OK", "parts=1,work=5.0,peak=8", "a\tb\tc\n"]);
+        let fields = format!("parts=1,work={}.0,peak=8", due_answer.work_ms);
+        let ok_answer = encode_array(&[&due_answer.id, "OK", &fields, "a\tb\tc\n"]);
         match due_answer.plan {
             Plan::Hang => true,
             Plan::Reset => false,
